--- a/src/main/kotlin/mintpick/core/Demand.kt
+++ b/src/main/kotlin/mintpick/core/Demand.kt
@@ -35,14 +35,17 @@
     ) {
         fun roomFor(spec: JobSpec): Resources = if (spec.isService) free + yielding else free
 
-        fun take(spec: JobSpec) {
+        fun take(
+            spec: JobSpec,
+            count: Int,
+        ) {
             used = true
-            if (spec.demand.fits(free)) {
-                free -= spec.demand
+            val demand = spec.demand * count.toDouble()
+            if (demand.fits(free)) {
+                free -= demand
             } else {
-                val left = free + yielding - spec.demand
+                yielding = free + yielding - demand
                 free = Resources.ZERO
-                yielding = left
             }
         }
     }
@@ -53,39 +56,65 @@
         val unused: Set<MachineId>,
     )
 
-    /** New machines to rent so that all of [wants] find room in [rooms] or on them. Rooms are filled in the given order. */
+    private val offers: List<Offer> =
+        types.values.flatMap { type ->
+            type.zones.filter { it in zones }.flatMap { zone -> listOf(Offer(type.name, zone, true), Offer(type.name, zone, false)) }
+        }
+
+    /**
+     * New machines to rent so that all of [wants] find room in [rooms] or on them. Rooms are filled in the given
+     * order, each with as many tasks at a time as it holds: a fleet of a thousand is walked once for each want.
+     */
     fun plan(
         rooms: Collection<Room>,
         wants: List<Want>,
         maxNew: Int,
     ): Plan {
         val bins = rooms.mapTo(ArrayList()) { Bin(Offer(it.type, it.zone, it.spot), it.free, it.yielding, it.machine) }
+        val fresh = ArrayList<Bin>()
         val rented = LinkedHashMap<Offer, Int>()
+        // Shapes that no room held any more: what needs as much need not look again.
+        val missed = ArrayList<JobSpec>()
         for (want in wants) {
             val counts = HashMap(want.perZone)
             var left = want.count
-            while (left > 0) {
+            if (missed.none { (it.spot || !want.spec.spot) && it.isService == want.spec.isService && it.demand.fits(want.spec.demand) }) {
                 // What may use spot machines leaves ordinary ones to what may not.
-                val bin =
-                    (if (want.spec.spot) bins.firstOrNull { it.offer.spot && fits(want, it, counts) } else null)
-                        ?: bins.firstOrNull { fits(want, it, counts) }
-                        ?: open(want, counts, left, rented, maxNew)?.also { bins += it } ?: break
-                bin.take(want.spec)
-                counts.merge(bin.offer.zone, 1, Int::plus)
-                left--
+                if (want.spec.spot) left = fill(want.spec, left, bins, counts) { it.offer.spot }
+                left = fill(want.spec, left, bins, counts) { true }
+                if (left > 0 && counts.values.sum() == 0 && want.spec.types == null && want.spec.zone == null) missed += want.spec
+            }
+            left = fill(want.spec, left, fresh, counts) { true }
+            while (left > 0) {
+                val bin = open(want, counts, left, rented, maxNew) ?: break
+                fresh += bin
+                left = fill(want.spec, left, listOf(bin), counts) { true }
             }
         }
         return Plan(rented, bins.filter { !it.used }.mapNotNullTo(HashSet()) { it.machine })
     }
 
-    private fun fits(
-        want: Want,
-        bin: Bin,
-        counts: Map<String, Int>,
-    ): Boolean =
-        Placer.allowed(want.spec, bin.offer.type, bin.offer.zone, bin.offer.spot) &&
-            (counts[bin.offer.zone] ?: 0) < want.spec.zoneCap &&
-            want.spec.demand.fits(bin.roomFor(want.spec))
+    /** Puts up to [count] tasks into [bins]; says how many are left. */
+    private inline fun fill(
+        spec: JobSpec,
+        count: Int,
+        bins: List<Bin>,
+        counts: MutableMap<String, Int>,
+        among: (Bin) -> Boolean,
+    ): Int {
+        var left = count
+        for (bin in bins) {
+            if (left == 0) break
+            val offer = bin.offer
+            if (!among(bin) || !Placer.allowed(spec, offer.type, offer.zone, offer.spot)) continue
+            val taken = minOf(left, spec.zoneCap - (counts[offer.zone] ?: 0), spec.demand.countIn(bin.roomFor(spec)))
+            if (taken <= 0) continue
+            bin.take(spec, taken)
+            counts.merge(offer.zone, taken, Int::plus)
+            left -= taken
+        }
+        return left
+    }
 
     private fun open(
         want: Want,
@@ -96,7 +125,7 @@
     ): Bin? {
         if (rented.values.sum() >= maxNew) return null
         val offer =
-            offers()
+            offers
                 .filter { (counts[it.zone] ?: 0) < want.spec.zoneCap }
                 .filter { Placer.allowed(want.spec, it.type, it.zone, it.spot) && available(it) }
                 .filter { it.spot || !want.spec.spot || want.ordinary }
@@ -109,11 +138,6 @@
 
     private fun capacityOf(offer: Offer): Resources = types[offer.type]?.capacity ?: Resources.ZERO
 
-    fun offers(): List<Offer> =
-        types.values.flatMap { type ->
-            type.zones.filter { it in zones }.flatMap { zone -> listOf(Offer(type.name, zone, true), Offer(type.name, zone, false)) }
-        }
-
     /** Price for each task that the machine would hold. */
     fun cost(
         offer: Offer,
--- a/src/main/kotlin/mintpick/core/FairShare.kt
+++ b/src/main/kotlin/mintpick/core/FairShare.kt
@@ -45,18 +45,25 @@
     private fun walk(
         node: ShareNode,
         above: List<ShareNode>,
-    ): List<String> {
+    ) {
         val path = above + node
-        val teams =
-            when (node) {
-                is ShareNode.Team -> {
-                    paths[node.name] = path
-                    listOf(node.name)
-                }
-                is ShareNode.Group -> node.children.flatMap { walk(it, path) }
-            }
-        members[node] = teams
-        return teams
+        members[node] = node.teams()
+        when (node) {
+            is ShareNode.Team -> paths[node.name] = path
+            is ShareNode.Group -> node.children.forEach { walk(it, path) }
+        }
+    }
+
+    /** Teams in the order in which they are to be served, as places: equals share one. */
+    fun places(use: (String) -> Double): Map<String, Int> {
+        val sorted = paths.keys.sortedWith { a, b -> compare(a, b, use) }
+        val places = HashMap<String, Int>()
+        var place = 0
+        sorted.forEachIndexed { i, team ->
+            if (i > 0 && compare(sorted[i - 1], team, use) != 0) place++
+            places[team] = place
+        }
+        return places
     }
 
     /** Use against weight of every branch on the way to [team], from the top. */
--- a/src/main/kotlin/mintpick/core/MachineView.kt
+++ b/src/main/kotlin/mintpick/core/MachineView.kt
@@ -63,6 +63,20 @@
 
     fun state(attempt: AttemptId): TaskReport? = tasks[attempt]
 
+    private var lastSession = 0L
+    private var lastSeq = -1L
+
+    /**
+     * Whether the worker may still wait for an answer to [report]. It has one report in flight at a time, so one
+     * that is not newer than a report we had is a late copy, and nobody reads what we answer. Ask once for each.
+     */
+    fun awaits(report: MachineReport): Boolean {
+        if (report.session < lastSession || (report.session == lastSession && report.seq <= lastSeq)) return false
+        lastSession = report.session
+        lastSeq = report.seq
+        return true
+    }
+
     /** Takes a message; false if a newer one is known already, which delayed packets make possible. */
     fun take(
         report: MachineReport,
--- a/src/main/kotlin/mintpick/core/Model.kt
+++ b/src/main/kotlin/mintpick/core/Model.kt
@@ -125,33 +125,20 @@
     /** Waiting tasks, lowest first. */
     fun waiting(): Sequence<Int> = if (waitingCount == 0) emptySequence() else (0 until size).asSequence().filter(::isWaiting)
 
+    fun edit(): ChunkEdit = ChunkEdit(this, HashMap(placed), finished.clone() as BitSet, HashMap(attempts))
+
     fun place(
         task: Int,
         machine: MachineId,
-    ): Chunk {
-        require(isWaiting(task)) { "task $task does not wait" }
-        return copy(placed = placed + (task to Placement(machine, (attempts[task] ?: 0) + 1)), attempts = attempts - task)
-    }
+    ): Chunk = edit().also { require(it.place(task, machine) != null) { "task $task does not wait" } }.build()
 
     /** Back to waiting: the caller has proof that [placement] runs nowhere. */
     fun requeue(
         task: Int,
         placement: Placement,
-    ): Chunk =
-        if (placed[task] == placement) {
-            copy(placed = placed - task, attempts = attempts + (task to placement.attempt))
-        } else {
-            this
-        }
+    ): Chunk = edit().also { it.requeue(task, placement) }.build()
 
-    fun finish(task: Int): Chunk {
-        if (finished.get(task)) return this
-        val after = finished.clone() as BitSet
-        after.set(task)
-        return copy(placed = placed - task, finished = after, attempts = attempts - task)
-    }
-
-    fun withVersion(version: Long): Chunk = copy(version = version)
+    fun finish(task: Int): Chunk = edit().also { it.finish(task) }.build()
 
     /** Inclusive ranges of done tasks, flattened. */
     fun doneRanges(): List<Int> {
@@ -166,18 +153,56 @@
         return ranges
     }
 
-    private fun copy(
-        version: Long = this.version,
-        placed: Map<Int, Placement> = this.placed,
-        finished: BitSet = this.finished,
-        attempts: Map<Int, Int> = this.attempts,
-    ) = Chunk(version, size, placed, finished, attempts)
-
     companion object {
         fun empty(size: Int): Chunk = Chunk(0, size, emptyMap(), BitSet(), emptyMap())
     }
 }
 
+/** Changes of one chunk on their way: many of them cost one copy of its maps. */
+class ChunkEdit internal constructor(
+    private val before: Chunk,
+    private val placed: HashMap<Int, Placement>,
+    private val finished: BitSet,
+    private val attempts: HashMap<Int, Int>,
+) {
+    var changed = false
+        private set
+
+    /** The new placement, or null if [task] does not wait. */
+    fun place(
+        task: Int,
+        machine: MachineId,
+    ): Placement? {
+        if (task !in 0 until before.size || finished.get(task) || task in placed) return null
+        val placement = Placement(machine, (attempts.remove(task) ?: 0) + 1)
+        placed[task] = placement
+        changed = true
+        return placement
+    }
+
+    /** Back to waiting: the caller has proof that [placement] runs nowhere. */
+    fun requeue(
+        task: Int,
+        placement: Placement,
+    ) {
+        if (placed[task] != placement) return
+        placed.remove(task)
+        attempts[task] = placement.attempt
+        changed = true
+    }
+
+    fun finish(task: Int) {
+        if (finished.get(task)) return
+        finished.set(task)
+        placed.remove(task)
+        attempts.remove(task)
+        changed = true
+    }
+
+    /** The chunk as edited so far; the version stays that of what was edited. */
+    fun build(): Chunk = if (changed) Chunk(before.version, before.size, HashMap(placed), finished.clone() as BitSet, HashMap(attempts)) else before
+}
+
 /** A job that is not final, or is cancelled with tasks still to be seen gone. */
 class Job(
     val id: JobId,
--- a/src/main/kotlin/mintpick/core/Placement.kt
+++ b/src/main/kotlin/mintpick/core/Placement.kt
@@ -14,12 +14,12 @@
     val hasImage: (String) -> Boolean,
     /** Ours to command, as against one that would have to be borrowed. */
     val own: Boolean,
-    /** Price per hour of the whole machine, to prefer the cheaper of two. */
-    val price: Double,
     /** Held by work that makes way for services. */
     val yielding: Resources = Resources.ZERO,
-    /** Ours since just now: it takes work once its worker has answered us. */
+    /** In touch with us: until then it takes no work, though work may wait for it. */
     val ready: Boolean = true,
+    /** Up: false for a machine that was only asked for or is booting. */
+    val up: Boolean = true,
 )
 
 /** Finds machines for waiting tasks. Pure: it sees rooms, and says which task goes where. */
@@ -27,92 +27,176 @@
     private val random: RandomGenerator,
     private val sample: Int,
 ) {
-    /** Rooms by machine; placing takes from them. */
-    class Rooms(
-        rooms: Collection<Room>,
+    internal class Slot(
+        val room: Room,
+        var free: Resources,
+    )
+
+    /** Rooms as one planning pass fills them. Parts taken from the same rooms share what is left. */
+    class Rooms private constructor(
+        internal val slots: List<Slot>,
     ) {
-        private val byMachine = LinkedHashMap<MachineId, Room>()
+        private val byMachine: Map<MachineId, Slot> by lazy { slots.associateBy { it.room.machine } }
 
-        init {
-            rooms.forEach { byMachine[it.machine] = it }
-        }
+        /** Shapes that found no room at all in this pass: what needs as much need not look again. */
+        private val missed = ArrayList<JobSpec>()
 
-        fun all(): Collection<Room> = byMachine.values
+        fun all(): List<Room> = slots.map { if (it.free === it.room.free) it.room else it.room.copy(free = it.free) }
 
-        operator fun get(machine: MachineId): Room? = byMachine[machine]
+        operator fun get(machine: MachineId): Room? = byMachine[machine]?.room
 
         fun take(
             machine: MachineId,
             demand: Resources,
         ) {
-            byMachine.computeIfPresent(machine) { _, room -> room.copy(free = room.free - demand) }
+            byMachine[machine]?.let { it.free -= demand }
+        }
+
+        /** Those of the rooms that [keep] picks. */
+        fun part(keep: (Room) -> Boolean): Rooms = Rooms(slots.filter { keep(it.room) })
+
+        /** Up to [count] of the rooms, drawn at random. */
+        fun some(
+            random: RandomGenerator,
+            count: Int,
+        ): List<Room> {
+            val drawn = if (slots.size <= count) slots else List(count) { slots[random.nextInt(slots.size)] }.distinct()
+            return drawn.map { it.room.copy(free = it.free) }
+        }
+
+        internal fun miss(spec: JobSpec) {
+            if (spec.types == null && spec.zone == null) missed += spec
+        }
+
+        internal fun isMissed(spec: JobSpec): Boolean = missed.any { (it.spot || !spec.spot) && it.demand.fits(spec.demand) }
+
+        companion object {
+            fun of(rooms: Collection<Room>): Rooms = Rooms(rooms.sortedBy { it.free.dominantShare(it.total) }.map { Slot(it, it.free) })
         }
     }
 
-    /** Places as many of [tasks] as there is room for, within the job's zone rules given where its other tasks are. */
+    /**
+     * Places as many of [tasks] as there is room for, within the job's zone rules given where its other tasks
+     * are. Takes nothing: what is used of the answer is for the caller to take.
+     */
     fun place(
         spec: JobSpec,
         tasks: Sequence<Int>,
         rooms: Rooms,
         perZone: Map<String, Int>,
         limit: Int,
+        hurried: Boolean = false,
     ): List<Pair<Int, MachineId>> {
-        val counts = HashMap(perZone)
-        val placed = ArrayList<Pair<Int, MachineId>>()
-        val onlyZone = if (spec.oneZone) counts.entries.firstOrNull { it.value > 0 }?.key ?: bestZone(spec, rooms) else null
-        for (task in tasks) {
-            if (placed.size >= limit) break
-            val room = choose(spec, rooms, counts, onlyZone) ?: break
-            rooms.take(room.machine, spec.demand)
-            counts.merge(room.zone, 1, Int::plus)
-            placed += task to room.machine
+        if (limit <= 0 || rooms.isMissed(spec)) return emptyList()
+        val onlyZone = if (spec.oneZone) perZone.entries.firstOrNull { it.value > 0 }?.key ?: bestZone(spec, rooms) else null
+        val found = candidates(spec, rooms, onlyZone, limit, hurried)
+        if (found.isEmpty()) {
+            if (onlyZone == null) rooms.miss(spec)
+            return emptyList()
         }
-        return placed
+        val counts = HashMap(perZone)
+        val picks = if (spec.spread) spreadPicks(spec, found, counts, limit) else bulkPicks(spec, found, counts, limit)
+        return tasks.take(limit).zip(picks.asSequence()).toList()
     }
 
-    private fun bestZone(
-        spec: JobSpec,
-        rooms: Rooms,
-    ): String? =
-        rooms
-            .all()
-            .filter { allowed(spec, it.type, it.zone, it.spot) }
-            .groupBy { it.zone }
-            .maxByOrNull { (_, inZone) -> inZone.sumOf { spec.demand.countIn(it.free) } }
-            ?.key
-
-    private fun choose(
+    /**
+     * Machines with room for a task of [spec], the best first. What may use spot machines looks at others only if
+     * they do not hold it. The fullest are seen first, so that what is empty stays empty and can be returned; [hurried],
+     * with more waiting than can be served, a sample from a random place on is nearly as good and far cheaper.
+     */
+    private fun candidates(
         spec: JobSpec,
         rooms: Rooms,
-        counts: Map<String, Int>,
         onlyZone: String?,
-    ): Room? {
-        val open =
-            rooms.all().filter { room ->
-                allowed(spec, room.type, room.zone, room.spot) &&
-                    (onlyZone == null || room.zone == onlyZone) &&
-                    (counts[room.zone] ?: 0) < spec.zoneCap &&
-                    spec.demand.fits(room.free)
+        limit: Int,
+        hurried: Boolean,
+    ): List<Pair<Slot, Int>> {
+        val found = ArrayList<Pair<Slot, Int>>()
+        val start = if (hurried && rooms.slots.isNotEmpty()) random.nextInt(rooms.slots.size) else 0
+        var held = 0
+        for (spot in if (spec.spot) listOf(true, false) else listOf(false)) {
+            if (held >= limit && !spec.spread) break
+            val zones = HashMap<String, Int>()
+            for (i in rooms.slots.indices) {
+                val slot = rooms.slots[(start + i) % rooms.slots.size]
+                val room = slot.room
+                if (room.spot != spot || !allowed(spec, room.type, room.zone, room.spot) || (onlyZone != null && room.zone != onlyZone)) continue
+                val count = spec.demand.countIn(slot.free)
+                if (count == 0) continue
+                found += slot to count
+                held += minOf(count, limit)
+                zones.merge(room.zone, 1, Int::plus)
+                if (found.size >= sample && held >= limit * SURPLUS && (!spec.spread || zones.values.all { it >= sample / SURPLUS })) break
             }
-        return sampled(open).maxWithOrNull(order(spec, counts))
+        }
+        return found.sortedWith(order(spec))
     }
 
-    /** Beyond a few dozen machines a random sample is nearly as good as the best of all, and far cheaper. */
-    private fun sampled(rooms: List<Room>): List<Room> = if (rooms.size <= sample) rooms else List(sample) { rooms[random.nextInt(rooms.size)] }
+    private fun order(spec: JobSpec): Comparator<Pair<Slot, Int>> {
+        val image = spec.image
+        // The fullest first: what stays empty can be returned.
+        return compareByDescending<Pair<Slot, Int>> { it.first.room.spot }
+            .thenByDescending { it.first.room.hasImage(image) }
+            .thenByDescending { it.first.room.own && it.first.room.ready }
+            .thenBy { it.first.free.dominantShare(it.first.room.total) }
+            .thenBy { it.first.room.machine.text }
+    }
 
-    private fun order(
+    private fun bulkPicks(
         spec: JobSpec,
-        counts: Map<String, Int>,
-    ): Comparator<Room> =
-        compareBy<Room> { it.spot }
-            .thenBy { it.hasImage(spec.image) }
-            .thenBy { it.own }
-            .thenBy { if (spec.spread) -(counts[it.zone] ?: 0) else 0 }
-            // The fullest first: what stays empty can be returned.
-            .thenBy { -it.free.dominantShare(it.total) }
-            .thenByDescending { it.machine.text }
+        found: List<Pair<Slot, Int>>,
+        counts: MutableMap<String, Int>,
+        limit: Int,
+    ): List<MachineId> {
+        val picks = ArrayList<MachineId>()
+        for ((slot, fits) in found) {
+            val zone = slot.room.zone
+            val count = minOf(fits, limit - picks.size, spec.zoneCap - (counts[zone] ?: 0))
+            if (count <= 0) continue
+            repeat(count) { picks += slot.room.machine }
+            counts.merge(zone, count, Int::plus)
+            if (picks.size >= limit) break
+        }
+        return picks
+    }
+
+    /** One task at a time, each in the zone that has the fewest. */
+    private fun spreadPicks(
+        spec: JobSpec,
+        found: List<Pair<Slot, Int>>,
+        counts: MutableMap<String, Int>,
+        limit: Int,
+    ): List<MachineId> {
+        val queues =
+            found.groupBy { it.first.room.zone }.mapValues { (_, inZone) -> ArrayDeque(inZone.map { (slot, count) -> slot.room.machine to count }) }
+        val picks = ArrayList<MachineId>()
+        while (picks.size < limit) {
+            val (zone, queue) =
+                queues.entries
+                    .filter { (zone, queue) -> queue.isNotEmpty() && (counts[zone] ?: 0) < spec.zoneCap }
+                    .minByOrNull { counts[it.key] ?: 0 } ?: break
+            val (machine, count) = queue.removeFirst()
+            if (count > 1) queue.addFirst(machine to count - 1)
+            picks += machine
+            counts.merge(zone, 1, Int::plus)
+        }
+        return picks
+    }
+
+    private fun bestZone(
+        spec: JobSpec,
+        rooms: Rooms,
+    ): String? =
+        rooms.slots
+            .filter { allowed(spec, it.room.type, it.room.zone, it.room.spot) }
+            .groupBy { it.room.zone }
+            .maxByOrNull { (_, inZone) -> inZone.sumOf { spec.demand.countIn(it.free) } }
+            ?.key
 
     companion object {
+        /** How many times what is needed a sample has to hold. */
+        private const val SURPLUS = 3
+
         /** The job's own rules for a machine. */
         fun allowed(
             spec: JobSpec,
--- a/src/main/kotlin/mintpick/engine/Accounting.kt
+++ b/src/main/kotlin/mintpick/engine/Accounting.kt
@@ -26,14 +26,16 @@
 ) {
     private val window = UsageWindow(operators.windowUs, operators.slotUs)
     private val teams = kernel.settings.teams
-    val tree: ShareTree = ShareTree(budgets())
+    private val tree: ShareTree = ShareTree(budgets())
     private var lastUs: Micros? = null
     private var nextSummaryUs: Micros = 0
     private var restored = false
     private var busy = false
-    private var fundedAt: Micros = -1
+    private var fundedAt: Micros = -FUNDED_EVERY
     private var fundedJobs: Set<JobId> = emptySet()
     private var usage: Map<String, Double> = emptyMap()
+    private var places: Map<String, Int>? = null
+    private val overShare = HashMap<String, Boolean>()
     private var usageAt: Micros = -REFRESH
 
     private val replica get() = kernel.replica
@@ -111,13 +113,26 @@
                 }
             }
             usage = sums
+            places = null
+            overShare.clear()
         }
         return usage[team] ?: 0.0
     }
 
+    /** The teams' places in the order of fair share; judged once for each refresh of their use. */
+    fun places(): Map<String, Int> {
+        use("")
+        return places ?: tree.places(::use).also { places = it }
+    }
+
+    fun isOverShare(team: String): Boolean {
+        use(team)
+        return overShare.getOrPut(team) { tree.isOverShare(team, ::use) }
+    }
+
     /** Jobs that their teams' guarantees pay for. */
     fun isFunded(job: JobId): Boolean {
-        if (fundedAt != kernel.now) {
+        if (kernel.now - fundedAt >= FUNDED_EVERY) {
             fundedAt = kernel.now
             val byTeam = replica.jobs.filter { it.stage == StoredStage.OPEN }.groupBy { it.spec.team }
             fundedJobs =
@@ -130,7 +145,8 @@
     }
 
     companion object {
-        private const val TICK: Micros = SECOND / 2
+        private const val TICK: Micros = SECOND
+        private const val FUNDED_EVERY: Micros = SECOND / 10
         private const val REFRESH: Micros = SECOND / 2
         private const val ROUND = 1e3
         private const val SPARE_WRITES = 3
--- a/src/main/kotlin/mintpick/engine/Capacity.kt
+++ b/src/main/kotlin/mintpick/engine/Capacity.kt
@@ -7,10 +7,7 @@
 import mintpick.core.Offer
 import mintpick.core.SECOND
 import mintpick.store.Keys
-import mintpick.store.TransactionResult
-import mintpick.wire.Guard
 import mintpick.wire.ListedMachine
-import mintpick.wire.MachineRecord
 import mintpick.wire.RentalRequest
 import mintpick.wire.RentalStage
 import mintpick.wire.Retiring
@@ -37,21 +34,20 @@
     )
 
     private val protocol = CloudProtocol(kernel.settings.cloud.toString())
+    /** The leader alone rents and returns, which goes before lists: it may use more than its part. */
     private val requests = Bucket(kernel.settings.cloudRps * SHARE / (kernel.settings.peers.size + 1), kernel.settings.cloudRps * SHARE)
     private val firstKnown = HashMap<MachineId, Micros>()
     val booting = LinkedHashMap<MachineId, Booting>()
     private val refusedUntil = HashMap<Offer, Micros>()
     private val releasing = HashSet<MachineId>()
-    private val recording = HashSet<MachineId>()
     private val pendingRentals = LinkedHashMap<String, RentalRequest>()
     private val busyRentals = HashSet<String>()
     private var listing = false
     private var nextListUs: Micros = 0
     private var nextTypesUs: Micros = 0
     private var nextReleaseUs: Micros = 0
+    private var nextNoticeUs: Micros = 0
     private var rentals = 0
-    var lastListOkUs: Micros? = null
-        private set
     private val incarnation = java.lang.Long.toString(kernel.random.nextLong(Long.MAX_VALUE), RADIX)
 
     private val replica get() = kernel.replica
@@ -67,23 +63,20 @@
 
     fun tick() {
         if (!link.serving) return
-        notice()
+        if (kernel.now >= nextNoticeUs) notice()
         if (kernel.now >= nextTypesUs) fetchTypes()
         if (!listing && kernel.now >= nextListUs) list()
-        if (link.reachable) {
-            record()
-            dropRecords()
-        }
         retryRentals()
         if (ownership.isLeader && standing.healthy() && kernel.now >= nextReleaseUs) release()
     }
 
     private fun notice() {
+        nextNoticeUs = kernel.now + NOTICE_EVERY
         replica.machines.keys.forEach { firstKnown.putIfAbsent(it, kernel.now) }
         replica.machinesWithTasks().forEach { firstKnown.putIfAbsent(it, kernel.now) }
         fleet.views().forEach { view ->
             firstKnown.putIfAbsent(view.id, kernel.now)
-            if (view.latest != null) booting.remove(view.id)
+            if (fleet.isConfirmed(view)) booting.remove(view.id)
         }
         replica.machines.keys.forEach { booting.remove(it) }
     }
@@ -139,12 +132,12 @@
         machines: List<ListedMachine>,
         startedUs: Micros,
     ) {
-        lastListOkUs = kernel.now
         val present = HashSet<MachineId>()
         for (machine in machines) {
             val id = MachineId(machine.id)
             present += id
             if (observer.isGone(id)) continue
+            ownership.meet(id, machine.zone)
             firstKnown.putIfAbsent(id, kernel.now)
             if (machine.stage == RentalStage.FAILED) failed += id
             if (id !in replica.machines && fleet.view(id)?.latest == null) {
@@ -166,59 +159,6 @@
 
     private val failed = HashSet<MachineId>()
 
-    /** Writes down machines of ours that have reported, so that all controllers know them. */
-    private fun record() {
-        for (view in fleet.views()) {
-            val report = view.latest ?: continue
-            if (view.id in replica.machines || observer.isGone(view.id) || !ownership.controls(view.id) || !fleet.isFresh(view)) continue
-            if (recording.size >= MAX_RECORDING || link.writesAllowed() < 1 || !recording.add(view.id)) continue
-            val record = MachineRecord(report.type, report.zone, report.spot, report.address)
-            store(view.id, record, 0) { recording -= view.id }
-        }
-    }
-
-    private fun store(
-        id: MachineId,
-        record: MachineRecord,
-        version: Long,
-        then: (Boolean) -> Unit,
-    ) {
-        val key = Keys.machine(id.text)
-        val write = Write(key, WireJson.encodeToJsonElement(MachineRecord.serializer(), record))
-        // Only its controller judges a machine: another's silence says nothing.
-        val guards = if (ownership.controls(id)) ownership.guards(id) else emptyList()
-        link.transact(guards + Guard(key, version), listOf(write)) { then(it is TransactionResult.Committed) }
-    }
-
-    /** Marks a machine as one to be emptied, or to be given up at once. */
-    fun retire(
-        id: MachineId,
-        how: Retiring,
-        reason: String,
-    ) {
-        val known = replica.machines[id] ?: return
-        if (known.record.retiring == how || known.record.retiring == Retiring.NOW) return
-        if (link.writesAllowed() < 1 || !recording.add(id)) return
-        store(id, known.record.copy(retiring = how), known.version) { done ->
-            recording -= id
-            if (done) LOG.info("retire machine={} type={} how={} reason={}", id.text, known.record.type, how, reason)
-            fleet.push(id)
-        }
-    }
-
-    /** Records of machines proven gone are dropped once no task is assigned to them any more. */
-    private fun dropRecords() {
-        for (known in replica.machines.values.toList()) {
-            if (!observer.isGone(known.id) || replica.tasksOn(known.id).isNotEmpty()) continue
-            if (link.writesAllowed() < 1 || !recording.add(known.id)) continue
-            val key = Keys.machine(known.id.text)
-            val borrow = replica.borrows[known.id]
-            val writes = listOfNotNull(Write(key, null), borrow?.let { Write(Keys.borrow(known.id.text), null) })
-            link.transact(listOf(Guard(key, known.version)), writes) { recording -= known.id }
-            firstKnown.remove(known.id)
-        }
-    }
-
     fun rent(
         offer: Offer,
         count: Int,
@@ -304,12 +244,12 @@
         private const val RADIX = 36
         private const val LAGS = 3
         private const val LAG_MARGIN: Micros = 2 * SECOND
-        private const val LIST_EVERY: Micros = 2 * SECOND
+        private const val LIST_EVERY: Micros = 3 * SECOND
+        private const val NOTICE_EVERY: Micros = SECOND / 2
         private const val TYPES_EVERY: Micros = 30 * SECOND
         private const val RETRY: Micros = SECOND
         private const val NO_CAPACITY: Micros = 15 * SECOND
         private const val RELEASE_EVERY: Micros = 500 * MILLI
-        private const val MAX_RECORDING = 4
         private const val BOOT_PATIENCE = 3.0
         private const val BOOT_MARGIN: Micros = 10 * SECOND
     }
--- a/src/main/kotlin/mintpick/engine/Caretaker.kt
+++ b/src/main/kotlin/mintpick/engine/Caretaker.kt
@@ -16,7 +16,8 @@
     private val ownership: Ownership,
     private val fleet: Fleet,
     private val standing: Standing,
-    private val capacity: Capacity,
+    private val roster: Roster,
+    private val orders: Orders,
     private val scheduling: Scheduling,
 ) {
     private var nextUs: Micros = 0
@@ -36,19 +37,33 @@
      * A machine that has fallen silent is returned, which proves it gone.
      */
     private fun giveUpSilent() {
-        val mine = fleet.views().filter { it.id in replica.machines && ownership.controls(it.id) && it.token > 0 }
+        val mine = fleet.views().filter { it.id in replica.machines && it.token > 0 && ownership.controls(it.id) }
         if (kernel.now - link.servingSinceUs < SETTLE) return
-        mine.filter { silenceOf(it) > if (servesUsers(it)) HEARTBEAT else patience }.forEach { fleet.probe(it.id) }
-        val silent = mine.filter(::isSilent)
+        val serving = mine.filterTo(HashSet(), ::servesUsers)
+        // Asking hundreds of machines every second would cost more than what it finds out.
+        val heartbeat = maxOf(HEARTBEAT, serving.size * SECOND / HEARTBEATS)
+        mine.filter { silenceOf(it) > if (it in serving) heartbeat else patience }.forEach { fleet.probe(it.id) }
+        val silent = mine.filter { isSilent(it, it in serving) || isOneWay(it) }
         if (silent.isEmpty()) return
-        val suspects = mine.count { fleet.failedProbes(it.id) > 0 }
+        val suspects = mine.count { fleet.isUnreachable(it.id) }
         val many = suspects > maxOf(2, mine.size / DOUBT_PART) || (suspects == mine.size && mine.size > 1)
         for (view in silent) {
-            val peersHeard = standing.heardAllSince(fleet.silentSince(view.id) + HINT_SPAN)
-            if (silenceOf(view) > doubt(many, peersHeard)) capacity.retire(view.id, Retiring.NOW, "silent")
+            val oneWay = isOneWay(view)
+            val since = if (oneWay) fleet.unreachableSince(view.id) ?: continue else fleet.silentSince(view.id)
+            val peersHeard = standing.heardAllSince(since + HINT_SPAN)
+            if (kernel.now - since > doubt(many, peersHeard)) roster.retire(view.id, Retiring.NOW, if (oneWay) "one-way" else "silent")
         }
     }
 
+    /**
+     * Its reports come but nothing reaches it: no answer has renewed its lease and no command is carried out. Another
+     * controller that does reach it would have adopted it by now, and if nobody does, nobody should wait for it.
+     */
+    private fun isOneWay(view: MachineView): Boolean {
+        val since = fleet.unreachableSince(view.id) ?: return false
+        return fleet.failedCalls(view.id) > PROBES && kernel.now - since > patience + TURN_AWAY
+    }
+
     /**
      * How long to doubt a silence. With a controller out of reach the network is the likelier fault: only what
      * has been silent for longer than its lease, and so has lost its tasks anyway, is given up. Many machines at
@@ -67,15 +82,14 @@
     /** Longer than any pause between two reports. */
     private val patience: Micros = kernel.settings.reportUs * 5 / 4 + LATE
 
-    /** Machines that serve users are asked every second; others only once a report is late. */
-    private fun isSilent(view: MachineView): Boolean {
-        if (standing.heardElsewhere(view.id, within = silenceOf(view))) return false
-        val failures = fleet.failedProbes(view.id)
-        return if (servesUsers(view)) {
-            failures >= PROBES && silenceOf(view) > HEARTBEAT * 2
-        } else {
-            failures > 0 && silenceOf(view) > patience + HEARTBEAT
-        }
+    /** Machines that serve users are asked between their reports; others only once a report is late. */
+    private fun isSilent(
+        view: MachineView,
+        serving: Boolean,
+    ): Boolean {
+        val failures = fleet.failedCalls(view.id)
+        if (failures == 0 || standing.heardElsewhere(view.id, within = silenceOf(view))) return false
+        return if (serving) failures >= PROBES && silenceOf(view) > HEARTBEAT * 2 else silenceOf(view) > patience + HEARTBEAT
     }
 
     private fun servesUsers(view: MachineView): Boolean =
@@ -86,8 +100,8 @@
     /** Work on a machine with a notice moves at once: its worker need not be asked twice. */
     private fun emptyNoticed() {
         for (view in fleet.views()) {
-            if (view.noticeEndsUs == null || !ownership.controls(view.id)) continue
-            if (replica.machines[view.id]?.record?.retiring == Retiring.NO) capacity.retire(view.id, Retiring.DRAIN, "notice")
+            if (view.noticeEndsUs == null || !ownership.controls(view.id) || !orders.isNoticed(view, ownership.control(view.id))) continue
+            if (replica.machines[view.id]?.record?.retiring == Retiring.NO) roster.retire(view.id, Retiring.DRAIN, "notice")
             if (hasRunning(view)) fleet.push(view.id)
         }
     }
@@ -114,6 +128,9 @@
         private const val HEARTBEAT: Micros = SECOND
         private const val PROBES = 2
 
+        /** Most machines asked in a second. */
+        private const val HEARTBEATS = 15
+
         /** A worker gives up a report after 4 s, and its next controller answers a second later. */
         private const val TURN_AWAY: Micros = 6 * SECOND
         private const val HINT_SPAN: Micros = 1_200 * MILLI
--- a/src/main/kotlin/mintpick/engine/Changes.kt
+++ b/src/main/kotlin/mintpick/engine/Changes.kt
@@ -1,13 +1,9 @@
 package mintpick.engine
 
-import mintpick.core.AttemptId
-import mintpick.core.Chunk
 import mintpick.core.Job
 import mintpick.core.JobId
 import mintpick.core.MachineId
-import mintpick.core.Placement
 import mintpick.core.Resources
-import mintpick.core.TaskId
 import mintpick.core.demand
 import mintpick.store.Keys
 import mintpick.store.RecordCodec
@@ -18,70 +14,18 @@
 import mintpick.wire.WireJson
 import org.slf4j.LoggerFactory
 
-/** A job as it is to become, with what must hold for that. */
-class Draft(
-    val before: Job,
-) {
-    var job: Job = before
-        private set
-    val touched = HashSet<Int>()
-    val guards = LinkedHashSet<Guard>()
-    val placed = ArrayList<Pair<AttemptId, MachineId>>()
-    val changed: Boolean get() = touched.isNotEmpty() || job.stage != before.stage
-
-    private fun change(
-        task: Int,
-        how: (Chunk, Int) -> Chunk,
-    ) {
-        val index = task / Job.CHUNK
-        // A transaction holds only so many writes; what is left out is planned again after it.
-        if (index !in touched && touched.size >= MAX_CHUNKS) return
-        val chunk = job.chunk(index)
-        val after = how(chunk, task % Job.CHUNK)
-        if (after === chunk) return
-        job = job.with(chunk = index to after)
-        touched += index
-    }
-
-    fun finish(task: Int) = change(task) { chunk, i -> chunk.finish(i) }
-
-    fun requeue(
-        task: Int,
-        placement: Placement,
-    ) = change(task) { chunk, i -> chunk.requeue(i, placement) }
-
-    fun place(
-        task: Int,
-        machine: MachineId,
-    ) {
-        change(task) { chunk, i -> chunk.place(i, machine) }
-        val attempt = job.placement(task)?.takeIf { it.machine == machine }?.attempt ?: return
-        placed += AttemptId(TaskId(job.id, task), attempt) to machine
-    }
-
-    fun cancel() {
-        job = job.with(stage = StoredStage.CANCELLED)
-    }
-
-    private companion object {
-        const val MAX_CHUNKS = 6
-    }
-}
-
 /** Turns drafts into guarded transactions and carries them to the state service, a few at a time. */
 class Changes(
     private val kernel: Kernel,
     private val link: StateLink,
     private val ownership: Ownership,
     private val desk: Desk,
-    private val fleet: Fleet,
 ) {
     /** What must be written together. */
     private class Part(
         val job: JobId,
         val guards: Set<Guard>,
         val writes: List<Write>,
-        val machines: Set<MachineId>,
         val placed: List<Pair<MachineId, Resources>>,
         val bytes: Int,
         val committed: () -> Unit,
@@ -97,6 +41,7 @@
     /** Room taken by placements that are on their way to the state service: the records do not show it yet. */
     private val reserved = HashMap<MachineId, Resources>()
 
+    private val limitedTeams = kernel.settings.teams.filter { it.cpusMax > 0 || it.gpusMax > 0 }.mapTo(HashSet()) { it.name }
     private val replica get() = kernel.replica
     private val ops = kernel.settings.limits.transactionOps
 
@@ -124,20 +69,24 @@
 
     fun isTeamFree(team: String): Boolean = team !in openTeams
 
+    /** How many drafts are worth making now. */
+    fun budget(): Int = if (hasRoom) link.writesAllowed() else 0
+
     /** Writes drafts and pending submissions, the latter first, as far as the limits allow. */
     fun commit(drafts: Collection<Draft>) {
-        val parts = ArrayList<Part>()
+        val stored = ArrayList<Part>()
         for ((id, pending) in desk.submissions) {
             if (pending.taken || !isFree(id) || replica.knows(id)) continue
             val spec = pending.spec ?: continue
             val job = Job(id, spec, StoredStage.OPEN, kernel.wall, 0, emptyMap())
             pending.taken = true
             val write = Write(Keys.job(id.text), RecordCodec.jobJson(job))
-            parts +=
-                Part(id, setOf(Guard(write.key, 0)), listOf(write), emptySet(), emptyList(), size(write), { desk.submitted(id) }) { pending.taken = false }
+            stored +=
+                Part(id, setOf(Guard(write.key, 0)), listOf(write), emptyList(), size(write), { desk.submitted(id) }) { pending.taken = false }
         }
-        drafts.filter { it.changed }.mapTo(parts, ::partOf)
-        send(parts)
+        // Apart from drafts, whose conflicts must not hold them up.
+        send(stored)
+        send(drafts.filter { it.changed }.map(::partOf))
     }
 
     private fun partOf(draft: Draft): Part {
@@ -166,14 +115,11 @@
         }
         guards += draft.guards
         val cancelled = job.stage == StoredStage.CANCELLED
-        val machines = draft.placed.mapTo(HashSet()) { it.second }
-        if (cancelled) job.placements().mapTo(machines) { it.second.machine }
         if (cancelled) desk.cancellations[id]?.taken = true
         return Part(
             id,
             guards,
             writes,
-            machines,
             draft.placed.map { it.second to draft.job.spec.demand },
             writes.sumOf(::size),
             committed = { if (cancelled) desk.cancelled(id) },
@@ -202,7 +148,8 @@
                 bytes = 0
             }
             dropRest = dropRest || link.transactionsOpen >= MAX_OPEN || writes + part.writes.size > maxOf(1, link.writesAllowed())
-            if (dropRest) {
+            // A part whose guards alone are too many for one transaction could never be written: it is planned anew, smaller.
+            if (dropRest || part.guards.size > ops * GUARDS_PER_OP) {
                 part.dropped()
                 continue
             }
@@ -231,7 +178,6 @@
             when (result) {
                 is TransactionResult.Committed -> {
                     group.forEach { it.committed() }
-                    group.flatMapTo(HashSet()) { it.machines }.forEach(fleet::push)
                 }
                 is TransactionResult.Conflict -> conflict(group, result)
                 else -> {
@@ -252,8 +198,7 @@
         val teams = HashSet<String>()
         for (part in group) {
             val spec = replica.job(part.job)?.spec ?: continue
-            val limited = kernel.settings.teams.any { it.name == spec.team && (it.cpusMax > 0 || it.gpusMax > 0) }
-            if (!limited || part.guards.none { it.key.startsWith(Keys.machine("")) }) continue
+            if (part.placed.isEmpty() || spec.team !in limitedTeams) continue
             if (!teams.add(spec.team)) continue
             val key = Keys.team(spec.team)
             guards += Guard(key, replica.version(key))
--- a/src/main/kotlin/mintpick/engine/Desk.kt
+++ b/src/main/kotlin/mintpick/engine/Desk.kt
@@ -38,6 +38,9 @@
 
     private val replica get() = kernel.replica
 
+    /** What can be stored soon; more would only wait for an answer that can't come in time, so it is refused at once. */
+    private val maxPending = maxOf(MIN_PENDING, (kernel.settings.limits.writeRps / (kernel.settings.peers.size + 1) * PENDING_S).toInt())
+
     fun health(reply: ReplyTo) = kernel.send(reply, if (standing.up()) Answer.json(OK, "{}") else busy("not ready"))
 
     fun submit(
@@ -51,7 +54,7 @@
             !link.serving || !link.reachable -> kernel.send(reply, busy("the state service does not answer"))
             replica.types.isEmpty() -> kernel.send(reply, busy("machine types are not known yet"))
             replica.job(id) != null -> current(id, reply)
-            submissions.size >= MAX_PENDING -> kernel.send(reply, errorAnswer(TOO_MANY, "too many submissions", RETRY_S))
+            submissions.size >= maxPending -> kernel.send(reply, errorAnswer(TOO_MANY, "too many submissions", RETRY_S))
             else -> {
                 val refusal = refusal(spec)
                 if (refusal == null) {
@@ -73,7 +76,6 @@
     private fun lookUp(
         id: JobId,
         reply: ReplyTo,
-        
         otherwise: () -> Answer,
     ) = link.caughtUp { ok ->
         val known = statusOf(id)
@@ -213,7 +215,8 @@
         private const val TOO_MANY = 429
         private const val UNAVAILABLE = 503
         private const val RETRY_S = 1
-        private const val MAX_PENDING = 150
+        private const val MIN_PENDING = 8
+        private const val PENDING_S = 2.5
 
         /** Below the users' own patience, so that the refusal reaches them. */
         private const val PATIENCE: Micros = 3 * SECOND + 500 * MILLI
--- /dev/null
+++ b/src/main/kotlin/mintpick/engine/Draft.kt
@@ -0,0 +1,66 @@
+package mintpick.engine
+
+import mintpick.core.AttemptId
+import mintpick.core.ChunkEdit
+import mintpick.core.Job
+import mintpick.core.MachineId
+import mintpick.core.Placement
+import mintpick.core.TaskId
+import mintpick.wire.Guard
+import mintpick.wire.StoredStage
+
+/** A job as it is to become, with what must hold for that. */
+class Draft(
+    val before: Job,
+) {
+    private val edits = HashMap<Int, ChunkEdit>()
+    private var stage = before.stage
+    private var built: Job? = before
+
+    /** The job with all changes so far. */
+    val job: Job get() = built ?: build().also { built = it }
+    val touched: Set<Int> get() = edits.filterValues { it.changed }.keys
+    val guards = LinkedHashSet<Guard>()
+    val placed = ArrayList<Pair<AttemptId, MachineId>>()
+    val changed: Boolean get() = stage != before.stage || edits.values.any { it.changed }
+
+    private fun build(): Job = edits.entries.fold(before.with(stage = stage)) { job, (index, edit) -> job.with(chunk = index to edit.build()) }
+
+    /** The chunk of [task]; null if it is one too many for a transaction: what is left out is planned again after it. */
+    private fun edit(task: Int): ChunkEdit? {
+        val index = task / Job.CHUNK
+        if (index !in edits && edits.size >= MAX_CHUNKS) return null
+        built = null
+        return edits.getOrPut(index) { before.chunk(index).edit() }
+    }
+
+    fun finish(task: Int) {
+        edit(task)?.finish(task % Job.CHUNK)
+    }
+
+    fun requeue(
+        task: Int,
+        placement: Placement,
+    ) {
+        edit(task)?.requeue(task % Job.CHUNK, placement)
+    }
+
+    /** Whether [task] was placed. */
+    fun place(
+        task: Int,
+        machine: MachineId,
+    ): Boolean {
+        val placement = edit(task)?.place(task % Job.CHUNK, machine) ?: return false
+        placed += AttemptId(TaskId(before.id, task), placement.attempt) to machine
+        return true
+    }
+
+    fun cancel() {
+        stage = StoredStage.CANCELLED
+        built = null
+    }
+
+    private companion object {
+        const val MAX_CHUNKS = 6
+    }
+}
--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -12,6 +12,7 @@
 import mintpick.wire.MeshProtobuf
 import mintpick.wire.NodeStatus
 import mintpick.wire.PeerHint
+import mintpick.wire.StoredStage
 import mintpick.wire.WireJson
 import mintpick.wire.decodeHint
 import java.util.random.RandomGenerator
@@ -29,17 +30,25 @@
     private val link = StateLink(kernel)
     private val ownership = Ownership(kernel, link)
     private val standing = Standing(kernel, link)
-    private val fleet = Fleet(kernel, link, ownership, standing)
-    private val observer = Observer(kernel, ownership, fleet)
+    private val orders = Orders(kernel)
+    private val fleet = Fleet(kernel, link, ownership, standing, orders)
+    private val observer = Observer(kernel, ownership, fleet, orders)
     private val accounting = Accounting(kernel, link, ownership, operators)
-    private val preemptor = Preemptor(kernel, ownership, fleet, accounting, operators)
-    private val scheduling = Scheduling(kernel, ownership, fleet, observer, accounting, standing, preemptor, operators)
+    private val preemptor = Preemptor(kernel, ownership, fleet, orders, accounting, operators)
+    private val scheduling = Scheduling(kernel, ownership, fleet, orders, observer, accounting, standing, preemptor, operators)
     private val capacity = Capacity(kernel, link, ownership, fleet, observer, standing)
-    private val supply = Supply(kernel, link, ownership, fleet, observer, capacity, scheduling, standing, operators)
+    private val roster = Roster(kernel, link, ownership, fleet, observer)
+    private val supply = Supply(kernel, link, ownership, fleet, observer, capacity, roster, orders, scheduling, standing, operators)
     private val desk = Desk(kernel, link, standing)
-    private val changes = Changes(kernel, link, ownership, desk, fleet)
-    private val caretaker = Caretaker(kernel, link, ownership, fleet, standing, capacity, scheduling)
+    private val changes = Changes(kernel, link, ownership, desk)
+    private val caretaker = Caretaker(kernel, link, ownership, fleet, standing, roster, orders, scheduling)
     private var nextHintUs: Micros = 0
+    private var nextPlanUs: Micros = 0
+    private var hints = 0
+
+    init {
+        ownership.calm = { standing.heardAllSince(kernel.now - CALM) }
+    }
 
     fun step(
         now: Micros,
@@ -53,9 +62,13 @@
         accounting.tick()
         capacity.tick()
         supply.tick()
-        fleet.tick()
         caretaker.tick()
-        preemptor.tick()
+        roster.tick()
+        val touched = kernel.replica.touched.toSet()
+        kernel.replica.touched.clear()
+        fleet.tick(touched)
+        preemptor.tick(touched)
+        observer.look(touched + fleet.takeHeard())
         plan()
         desk.tick()
         hint()
@@ -71,7 +84,7 @@
             is Event.Report -> fleet.onReport(event.report, event.reply)
             is Event.Hint -> {
                 standing.onHint(event.hint)
-                kernel.send(event.reply, Answer(OK, MeshProtobuf.encodeToByteArray(PeerHint.serializer(), ownHint()), null, PROTOBUF))
+                kernel.send(event.reply, Answer(OK, MeshProtobuf.encodeToByteArray(PeerHint.serializer(), ownHint(withMachines = false)), null, PROTOBUF))
             }
             is Event.Inspect -> kernel.send(event.reply, Answer.json(OK, WireJson.encodeToString(NodeStatus.serializer(), status())))
             is Event.CallDone -> kernel.callDone(event.id, event.outcome)
@@ -98,21 +111,23 @@
         )
     }
 
+    /** Gathers what came within a moment into few writes. */
     private fun plan() {
-        if (!changes.hasRoom) return
+        if (kernel.now < nextPlanUs || !changes.hasRoom) return
+        nextPlanUs = kernel.now + PLAN_EVERY
         val drafts = LinkedHashMap<JobId, Draft>()
         val draftOf: (JobId) -> Draft? = { id ->
             drafts[id] ?: kernel.replica
                 .job(id)
                 ?.takeIf { changes.isFree(id) }
-                ?.let(::Draft)
+                ?.let { job -> Draft(job).also(observer::apply) }
                 ?.also { drafts[id] = it }
         }
         for ((id, pending) in desk.cancellations) {
-            if (pending.taken || kernel.replica.job(id)?.stage != mintpick.wire.StoredStage.OPEN) continue
+            if (pending.taken || kernel.replica.job(id)?.stage != StoredStage.OPEN) continue
             draftOf(id)?.cancel()
         }
-        observer.observe(draftOf)
+        observer.due().forEach { draftOf(it) }
         if (link.reachable) scheduling.schedule(changes, drafts, draftOf)
         changes.commit(drafts.values)
     }
@@ -121,7 +136,7 @@
     private fun hint() {
         if (kernel.now < nextHintUs) return
         nextHintUs = kernel.now + HINT_EVERY
-        val body = MeshProtobuf.encodeToByteArray(PeerHint.serializer(), ownHint())
+        val body = MeshProtobuf.encodeToByteArray(PeerHint.serializer(), ownHint(withMachines = hints++ % 2 == 0))
         for (peer in settings.peers) {
             val call = Call(Target.Peer(peer.address.toString()), "POST", "/hint", body, HINT_TIMEOUT, PROTOBUF)
             kernel.call(call) { outcome ->
@@ -132,21 +147,30 @@
         }
     }
 
-    private fun ownHint(): PeerHint =
+    /** Which machines we hear is told in every other hint only: with a thousand of them it is most of its size. */
+    private fun ownHint(withMachines: Boolean): PeerHint =
         PeerHint(
             settings.node,
             link.lastServedUs?.takeIf { link.serving }?.let { kernel.now - it } ?: -1,
-            fleet
-                .views()
-                .filter { it.latest != null && kernel.now - it.reportedUs < HINT_AGE && !fleet.isEmptying(it) && fleet.errorsOn(it.id) == 0 }
-                .map { MachineHint(it.id.text, kernel.now - it.reportedUs, it.imageNames.toList()) },
+            if (withMachines) machineHints() else emptyList(),
             kernel.replica.revision,
+            withMachines,
+            scheduling.lacksRoom,
         )
 
+    private fun machineHints(): List<MachineHint> =
+        fleet
+            .views()
+            .filter { view ->
+                view.latest != null && kernel.now - view.reportedUs < settings.reportUs * 2 && fleet.errorsOn(view.id) == 0 &&
+                    !fleet.isUnreachable(view.id) && !orders.isEmptying(view, ownership.control(view.id))
+            }.map { MachineHint(it.id.text, kernel.now - it.reportedUs, it.imageNames.toList()) }
+
     companion object {
         private const val OK = 200
         const val PROTOBUF = "application/x-protobuf"
-        private const val HINT_AGE: Micros = 6_000 * MILLI
+        private const val PLAN_EVERY: Micros = 40 * MILLI
+        private const val CALM: Micros = 3_000 * MILLI
         private const val HINT_EVERY: Micros = 1_000 * MILLI
         private const val HINT_TIMEOUT: Micros = 800 * MILLI
     }
--- a/src/main/kotlin/mintpick/engine/Fleet.kt
+++ b/src/main/kotlin/mintpick/engine/Fleet.kt
@@ -6,29 +6,25 @@
 import mintpick.core.MachineView
 import mintpick.core.Micros
 import mintpick.core.SECOND
-import mintpick.core.isService
 import mintpick.net.Answer
 import mintpick.net.errorAnswer
-import mintpick.wire.Command
 import mintpick.wire.CommandBatch
 import mintpick.wire.MachineReport
 import mintpick.wire.Misdirected
 import mintpick.wire.ReportAnswer
-import mintpick.wire.Retiring
-import mintpick.wire.StoredStage
-import mintpick.wire.TaskReport
 import mintpick.wire.TaskState
 import mintpick.wire.Verb
 import mintpick.wire.WireJson
 import mintpick.workers.WorkerProtocol
 import org.slf4j.LoggerFactory
 
-/** The machines as their workers show them, and the commands that bring them in line with the records. */
+/** The machines as their workers show them: takes reports, sends commands, and knows who is in touch. */
 class Fleet(
     private val kernel: Kernel,
     private val link: StateLink,
     private val ownership: Ownership,
     private val standing: Standing,
+    private val orders: Orders,
 ) {
     private class Redirects(
         var first: Micros,
@@ -36,13 +32,12 @@
         var count: Int,
     )
 
-    /** For the debug log alone. */
-    private val running = HashSet<AttemptId>()
-    private val views = HashMap<MachineId, MachineView>()
-    private val calls = HashSet<MachineId>()
-    private val again = HashSet<MachineId>()
-    private val probeAfter = HashMap<MachineId, Micros>()
-    private val redirects = HashMap<MachineId, Redirects>()
+    /** Direct calls that failed one after the other. */
+    private class Failures(
+        val sinceUs: Micros,
+        var count: Int,
+        var nextUs: Micros,
+    )
 
     /** Since when a machine has been ours without a break, and the token that it began with. */
     private class Tenure(
@@ -50,12 +45,22 @@
         val token: Long,
     )
 
-    /** Attempts to be stopped although their jobs go on: preempted, or on a machine that is to be emptied. */
-    val stopping = HashMap<AttemptId, String>()
-    private val probing = HashSet<MachineId>()
-    private val unanswered = HashMap<MachineId, Pair<Int, Micros>>()
+    /** For the debug log alone. */
+    private val running = HashSet<AttemptId>()
+    private val views = HashMap<MachineId, MachineView>()
+    private val calls = HashSet<MachineId>()
+    private val again = HashSet<MachineId>()
+    private val confirmAfter = HashMap<MachineId, Micros>()
+    private val redirects = HashMap<MachineId, Redirects>()
+    private val unservedIn = HashMap<Int, HashMap<MachineId, Micros>>()
+    private val failures = HashMap<MachineId, Failures>()
     private val mineSince = HashMap<MachineId, Tenure>()
     private val errors = HashMap<MachineId, MutableSet<String>>()
+    private val buried = HashSet<MachineId>()
+    private val heard = HashSet<MachineId>()
+    private var suspectCalls = 0
+    private var epochSeen = -1L
+    private var nextTickUs: Micros = 0
 
     private val replica get() = kernel.replica
 
@@ -63,17 +68,41 @@
 
     fun views(): Collection<MachineView> = views.values
 
-    fun forget(machine: MachineId) {
+    /** Machines heard since the last call. */
+    fun takeHeard(): Set<MachineId> = heard.toSet().also { heard.clear() }
+
+    /** Proven gone: what still comes under this name are late copies, which must not make a record of it again. */
+    fun bury(machine: MachineId) {
+        buried += machine
         views.remove(machine)
         redirects.remove(machine)
         errors.remove(machine)
-        probeAfter.remove(machine)
-        unanswered.remove(machine)
+        confirmAfter.remove(machine)
+        failures.remove(machine)
+        mineSince.remove(machine)
+        ownership.forget(machine)
     }
 
     /** Heard lately enough to be given work. */
     fun isFresh(view: MachineView): Boolean = kernel.now - view.heardUs < kernel.settings.reportUs * 5 / 4 + FRESH_MARGIN
 
+    /**
+     * Its worker has shown the token that is ours now, so what it says is newer than our claim. Reports alone
+     * prove no more than that somebody sent them once: copies may arrive much later.
+     */
+    fun isConfirmed(view: MachineView): Boolean {
+        val claim = ownership.control(view.id) ?: return false
+        return ownership.isMine(claim) && view.latest != null && view.token >= claim.version
+    }
+
+    /** Answers and commands have not got through to it since a call that failed; its reports may still come. */
+    fun isUnreachable(machine: MachineId): Boolean = (failures[machine]?.count ?: 0) > 0
+
+    /** Calls that failed one after the other, and since when. */
+    fun failedCalls(machine: MachineId): Int = failures[machine]?.count ?: 0
+
+    fun unreachableSince(machine: MachineId): Micros? = failures[machine]?.sinceUs
+
     /** Distinct jobs that ended with an error on [machine]. */
     fun errorsOn(machine: MachineId): Int = errors[machine]?.size ?: 0
 
@@ -89,15 +118,42 @@
         reply: ReplyTo,
     ) {
         val id = MachineId(report.machine)
+        if (id in buried) return kernel.send(reply, misdirected(null))
+        ownership.meet(id, report.zone)
         val view = views.getOrPut(id) { MachineView(id, kernel.now) }
+        val awaited = view.awaits(report)
         val fresh = view.take(report, kernel.now, direct = false)
         if (fresh) learn(view, report)
-        if (isUnserved(id)) {
-            // The worker is held for the one write that makes it ours: sent on, it would spend the rest of its
-            // lease on controllers that it can't reach.
-            ownership.adopt(id, "unserved") { kernel.send(reply, answer(id, view, report, fresh)) }
+        if (awaited && isUnserved(id)) {
+            adopt(view, report, reply)
         } else {
-            kernel.send(reply, answer(id, view, report, fresh))
+            kernel.send(reply, answer(id, view, report, awaited && fresh, awaited))
+        }
+    }
+
+    /**
+     * The worker is held for a call to it and the one write that makes it ours: sent on, it would spend the rest
+     * of its lease on controllers that it can't reach. The call tells a live machine whose commands get through
+     * from a late copy of a report, and from one that only its reports leave.
+     */
+    private fun adopt(
+        view: MachineView,
+        report: MachineReport,
+        reply: ReplyTo,
+    ) {
+        val id = view.id
+        val shard = ownership.shard(id) ?: return kernel.send(reply, misdirected(null))
+        val peers = unservedIn.getOrPut(shard) { HashMap() }
+        peers[id] = kernel.now
+        peers.values.removeIf { kernel.now - it > UNSERVED_MEMORY }
+        inspect(view) { ok ->
+            val claim = ownership.control(id)
+            val whole = peers.size >= WHOLE_SHARD || (claim != null && !standing.hears(claim.node))
+            if (ok) {
+                ownership.adopt(id, whole, "unserved") { kernel.send(reply, answer(id, view, report, view.latest === report, true)) }
+            } else {
+                kernel.send(reply, answer(id, view, report, fresh = false, awaited = true))
+            }
         }
     }
 
@@ -106,6 +162,7 @@
         view: MachineView,
         report: MachineReport,
         fresh: Boolean,
+        awaited: Boolean,
     ): Answer {
         val claim = ownership.control(id)
         if (!link.hasLoaded || claim == null) return errorAnswer(UNAVAILABLE, "not ready")
@@ -118,24 +175,13 @@
         if (!standing.mayAnswerWorkers()) return misdirected(null)
         redirects.remove(id)
         // An old report, delivered late, gets no commands: they would be computed from what is no longer so.
-        val commands = if (fresh) commandsFor(view, claim) else emptyList()
-        if (fresh) view.answeredWith(starts(commands))
-        view.answeredReport(kernel.now)
-        val body = WireJson.encodeToString(ReportAnswer.serializer(), ReportAnswer(claim.version, commands))
-        return Answer.json(OK, body)
+        val commands = if (fresh) orders.commandsFor(view, claim) else emptyList()
+        if (fresh) view.answeredWith(Orders.starts(commands))
+        // A copy is answered to nobody: only a report that its worker may still wait for renews the lease.
+        if (awaited) view.answeredReport(kernel.now)
+        return Answer.json(OK, WireJson.encodeToString(ReportAnswer.serializer(), ReportAnswer(claim.version, commands)))
     }
 
-    private fun starts(commands: List<Command>): Set<AttemptId> =
-        commands.filter { it.verb == Verb.START }.mapNotNull { attemptOf(it.task, it.attempt) }.toSet()
-
-    private fun attemptOf(
-        task: String,
-        attempt: Int,
-    ): AttemptId? =
-        mintpick.core.TaskId
-            .parse(task)
-            ?.let { AttemptId(it, attempt) }
-
     private fun misdirected(node: String?): Answer =
         Answer.json(MISDIRECTED, WireJson.encodeToString(Misdirected.serializer(), Misdirected(node)))
 
@@ -163,92 +209,19 @@
         view: MachineView,
         report: MachineReport,
     ) {
+        heard += view.id
         val cache = replica.types[report.type]?.cacheGb ?: 0.0
         for ((attempt, task) in view.reported) {
-            if (task.state == TaskState.FETCHING) continue
+            if (task.state == TaskState.FETCHING || task.state == TaskState.EXITED) continue
             val job = replica.job(attempt.task.job) ?: continue
-            if (task.state == TaskState.EXITED) continue
             if (LOG.isDebugEnabled && running.add(attempt)) {
                 val waited = (kernel.wall - job.submittedUs) / MILLI
                 LOG.debug("running task={} attempt={} machine={} waited_ms={}", attempt.task, attempt.attempt, view.id.text, waited)
             }
             view.sawImage(job.spec.image, job.spec.imageGb, cache)
         }
-        if (stopping.isNotEmpty()) {
-            stopping.keys.removeIf { attempt ->
-                replica.job(attempt.task.job)?.placement(attempt.task.index)?.let { it.attempt != attempt.attempt } ?: true
-            }
-        }
-    }
-
-    /** Commands that bring the machine in line with the records. Empty until the records are at least as new as our claim. */
-    private fun commandsFor(
-        view: MachineView,
-        claim: Claim,
-    ): List<Command> {
-        if (replica.revision < claim.version) return emptyList()
-        val wanted = replica.tasksOn(view.id)
-        val reaps = ArrayList<Command>()
-        val stops = ArrayList<Command>()
-        val starts = ArrayList<Command>()
-        for ((attempt, task) in view.reported) {
-            val isWanted = wanted[attempt.task] == attempt.attempt
-            if (task.state == TaskState.EXITED) {
-                if (!isWanted && view.mayForget(attempt, claim.version)) reaps += command(Verb.FORGET, attempt)
-            } else {
-                stopFor(view, attempt, task, isWanted)?.let { stops += it }
-            }
-        }
-        for ((task, number) in wanted) {
-            val attempt = AttemptId(task, number)
-            if (view.state(attempt) == null && mayStart(view, attempt)) starts += command(Verb.START, attempt)
-        }
-        return reaps + stops + starts
     }
 
-    private fun mayStart(
-        view: MachineView,
-        attempt: AttemptId,
-    ): Boolean {
-        val job = replica.job(attempt.task.job) ?: return false
-        return job.stage == StoredStage.OPEN && attempt !in stopping && !isEmptying(view)
-    }
-
-    /** Whether what has not started yet should not start here any more. */
-    fun isEmptying(view: MachineView): Boolean =
-        view.noticeEndsUs != null || (replica.machines[view.id]?.record?.retiring ?: Retiring.NO) != Retiring.NO
-
-    private fun stopFor(
-        view: MachineView,
-        attempt: AttemptId,
-        task: TaskReport,
-        isWanted: Boolean,
-    ): Command? {
-        val job = replica.job(attempt.task.job)
-        if (!isWanted || job == null || job.stage != StoredStage.OPEN) return command(Verb.STOP, attempt, 0)
-        val leaves = attempt in stopping || leavesWithMachine(view, job.spec.isService, job.spec.estimateS)
-        if (!leaves || task.state == TaskState.SAVING) return null
-        val left = view.noticeEndsUs?.let { (it - kernel.now) / SECOND / 2 } ?: MAX_GRACE_S
-        return command(Verb.STOP, attempt, if (left >= job.spec.saveS) left.toInt() else 0)
-    }
-
-    /** Services leave a machine that is to go at once; work that ends soon may finish on one that is only being drained. */
-    private fun leavesWithMachine(
-        view: MachineView,
-        service: Boolean,
-        estimateS: Double,
-    ): Boolean {
-        if (view.noticeEndsUs != null) return true
-        val retiring = replica.machines[view.id]?.record?.retiring ?: Retiring.NO
-        return retiring != Retiring.NO && (service || estimateS > DRAIN_PATIENCE_S)
-    }
-
-    private fun command(
-        verb: Verb,
-        attempt: AttemptId,
-        graceS: Int? = null,
-    ) = Command(verb, attempt.task.toString(), attempt.attempt, graceS)
-
     /** Sends a machine what it lacks without waiting for its next report; also shows it our token. */
     fun push(machine: MachineId) {
         if (machine in calls) {
@@ -256,29 +229,77 @@
             return
         }
         val claim = ownership.control(machine) ?: return
-        if (!ownership.isMine(claim) || !standing.healthy()) return
+        if (!ownership.isMine(claim) || !standing.healthy() || machine in buried) return
         val view = views.getOrPut(machine) { MachineView(machine, kernel.now) }
-        val address = view.latest?.address ?: replica.machines[machine]?.record?.address ?: return
-        val commands = if (view.latest == null) emptyList() else commandsFor(view, claim)
-        if (commands.isEmpty() && view.latest != null && view.token >= claim.version) return
-        calls += machine
-        val started = starts(commands)
+        val address = addressOf(view) ?: return
+        val commands = if (view.latest == null) emptyList() else orders.commandsFor(view, claim)
+        // What is only to be forgotten can wait for the next report.
+        if (commands.all { it.verb == Verb.FORGET } && view.latest != null && view.token >= claim.version) return
+        if (!mayCall(machine)) return
+        val started = Orders.starts(commands)
         started.forEach { view.launching(it, claim.version, view.session) }
-        kernel.call(WorkerProtocol.commands(address, CommandBatch(claim.version, view.session, commands))) { outcome ->
-            calls -= machine
-            val result = WorkerProtocol.read(outcome)
+        val session = view.session
+        call(machine, WorkerProtocol.commands(address, CommandBatch(claim.version, session, commands), isUnreachable(machine))) { result ->
             if (result == WorkerProtocol.Result.Unanswered) {
                 started.forEach(view::launchLost)
             } else {
                 started.forEach(view::launchSettled)
             }
             val report = (result as? WorkerProtocol.Result.Executed)?.report ?: (result as? WorkerProtocol.Result.Dropped)?.report
-            if (report != null && view.take(report, kernel.now, direct = true)) {
-                learn(view, report)
+            if (report != null && view.take(report, kernel.now, direct = true)) learn(view, report)
+            val rejected = result is WorkerProtocol.Result.Dropped && report != null && report.session != session
+            if (again.remove(machine) || rejected) push(machine)
+            report != null
+        }
+    }
+
+    private fun addressOf(view: MachineView): String? = view.latest?.address ?: replica.machines[view.id]?.record?.address
+
+    /** Calls to machines that do not answer are few at a time and further and further apart. */
+    private fun mayCall(machine: MachineId): Boolean {
+        val failing = failures[machine] ?: return true
+        return kernel.now >= failing.nextUs && suspectCalls < MAX_SUSPECT_CALLS
+    }
+
+    private fun call(
+        machine: MachineId,
+        call: mintpick.net.Call,
+        then: (WorkerProtocol.Result) -> Boolean,
+    ) {
+        calls += machine
+        val suspect = isUnreachable(machine)
+        if (suspect) suspectCalls++
+        kernel.call(call) { outcome ->
+            calls -= machine
+            if (suspect) suspectCalls--
+            if (then(WorkerProtocol.read(outcome))) {
+                failures.remove(machine)
+            } else if (machine !in buried) {
+                val failing = failures.getOrPut(machine) { Failures(kernel.now, 0, 0) }
+                failing.count++
+                failing.nextUs = kernel.now + minOf(RETRY_MOST, RETRY_LEAST * failing.count)
             }
-            val failed = report == null
-            if (failed) probeAfter[machine] = kernel.now + PROBE_EVERY
-            if (again.remove(machine) || (result is WorkerProtocol.Result.Dropped && report != null)) push(machine)
+        }
+    }
+
+    /** Asks a machine that has missed its report whether it is there at all. */
+    fun probe(machine: MachineId) {
+        val view = views[machine] ?: return
+        if (machine !in calls && mayCall(machine)) inspect(view) { }
+    }
+
+    private fun inspect(
+        view: MachineView,
+        then: (Boolean) -> Unit,
+    ) {
+        val address = addressOf(view)
+        if (address == null || view.id in calls) return then(false)
+        call(view.id, WorkerProtocol.inspect(address, isUnreachable(view.id))) { result ->
+            val report = (result as? WorkerProtocol.Result.Executed)?.report
+            if (report != null && view.take(report, kernel.now, direct = true)) learn(view, report)
+            then(report != null)
+            if (again.remove(view.id)) push(view.id)
+            report != null
         }
     }
 
@@ -301,66 +322,68 @@
         return ownership.controls(view.id) && view.hasLapsed(kernel.now, tenure.sinceUs, tenure.token, kernel.settings.leaseUs)
     }
 
-    /** Asks a machine that has missed its report whether it is there at all. */
-    fun probe(machine: MachineId) {
-        val view = views[machine] ?: return
-        val address = view.latest?.address ?: return
-        if (!probing.add(machine)) return
-        kernel.call(WorkerProtocol.inspect(address)) { outcome ->
-            probing -= machine
-            val result = WorkerProtocol.read(outcome)
-            if (result is WorkerProtocol.Result.Executed) {
-                if (view.take(result.report, kernel.now, direct = true)) learn(view, result.report)
-            } else {
-                unanswered[machine] = failedProbes(machine) + 1 to view.heardUs
-            }
-        }
-    }
-
-    /** Probes that failed one after the other since the machine was last heard. */
-    fun failedProbes(machine: MachineId): Int = unanswered[machine]?.takeIf { it.second == views[machine]?.heardUs }?.first ?: 0
-
+    /** Whose machines are whose changes with few records, and every such change is looked at. */
     private fun watchControl() {
+        if (replica.controlEpoch == epochSeen && link.lease == leaseSeen) return
+        epochSeen = replica.controlEpoch
+        leaseSeen = link.lease
         for (known in replica.machines.values) {
             val claim = ownership.control(known.id)
-            if (ownership.isMine(claim)) mineSince.putIfAbsent(known.id, Tenure(kernel.now, claim?.version ?: 0)) else mineSince.remove(known.id)
+            if (!ownership.isMine(claim)) {
+                mineSince.remove(known.id)
+            } else if (known.id !in mineSince) {
+                mineSince[known.id] = Tenure(kernel.now, claim?.version ?: 0)
+                // What failed while it was another's says nothing of now.
+                failures.remove(known.id)
+            }
         }
         mineSince.keys.retainAll(replica.machines.keys)
     }
 
-    /** Confirms machines that came under our control, and raises the token where a start was lost. */
-    fun tick() {
+    private var leaseSeen: Long? = null
+
+    /** Sends [touched] machines what changed for them, confirms machines that came under our control, and raises the token where a start was lost. */
+    fun tick(touched: Collection<MachineId>) {
         watchControl()
         if (!standing.healthy()) return
+        touched.forEach { if (it in mineSince) push(it) }
+        if (kernel.now < nextTickUs) return
+        nextTickUs = kernel.now + TICK
+        orders.clean()
         for (known in replica.machines.values) {
+            if (known.id !in mineSince) continue
             val view = views[known.id]
             val claim = ownership.control(known.id) ?: continue
-            if (!ownership.isMine(claim)) continue
             if (view != null && view.needsHigherToken && kernel.now - view.heardUs < RECENT) ownership.raise(known.id, "lost-start")
             val unconfirmed = view?.latest == null || view.token < claim.version
-            if (unconfirmed && kernel.now >= (probeAfter[known.id] ?: 0)) {
-                probeAfter[known.id] = kernel.now + PROBE_EVERY
+            if (unconfirmed && kernel.now >= (confirmAfter[known.id] ?: 0)) {
+                confirmAfter[known.id] = kernel.now + CONFIRM_EVERY
                 push(known.id)
+            } else if (isUnreachable(known.id)) {
+                probe(known.id)
             }
         }
     }
 
-    /** Pushes to machines that have something to be stopped or started which was not sent yet. */
-    fun pushChanged(machines: Collection<MachineId>) = machines.forEach(::push)
-
     companion object {
         private val LOG = LoggerFactory.getLogger(Fleet::class.java)
         private const val OK = 200
         private const val MISDIRECTED = 421
         private const val UNAVAILABLE = 503
-        private const val MAX_GRACE_S = 30L
-        private const val DRAIN_PATIENCE_S = 60.0
         private const val FRESH_MARGIN: Micros = 2 * SECOND
         private const val SETTLING: Micros = 2 * SECOND
-        private const val PROBE_EVERY: Micros = SECOND
+        private const val TICK: Micros = 200 * MILLI
+        private const val CONFIRM_EVERY: Micros = SECOND
+        private const val RETRY_LEAST: Micros = SECOND / 2
+        private const val RETRY_MOST: Micros = 3 * SECOND
+        private const val MAX_SUSPECT_CALLS = 6
         private const val RECENT: Micros = 5 * SECOND
         private const val REDIRECTS = 2
         private const val REDIRECT_SPAN: Micros = 3 * SECOND
         private const val REDIRECT_MEMORY: Micros = 15 * SECOND
+        private const val UNSERVED_MEMORY: Micros = 8 * SECOND
+
+        /** From so many machines of a shard on, its whole shard is what its controller does not serve. */
+        private const val WHOLE_SHARD = 3
     }
 }
--- a/src/main/kotlin/mintpick/engine/Observer.kt
+++ b/src/main/kotlin/mintpick/engine/Observer.kt
@@ -2,32 +2,59 @@
 
 import mintpick.core.AttemptId
 import mintpick.core.JobId
+import mintpick.core.MILLI
 import mintpick.core.MachineId
 import mintpick.core.MachineView
 import mintpick.core.Micros
 import mintpick.core.Placement
 import mintpick.core.Proof
+import mintpick.core.Resources
 import mintpick.core.SECOND
 import mintpick.core.TaskId
+import mintpick.core.demand
 import mintpick.wire.ExitCause
 import mintpick.wire.StoredStage
 import org.slf4j.LoggerFactory
 
-/** Turns what machines prove into changes of jobs. */
+/**
+ * Turns what machines prove into changes of jobs. Looks only at machines of which something is new, and keeps
+ * what it finds until it is written: a write for each finished task would be more than the state service takes.
+ */
 class Observer(
     private val kernel: Kernel,
     private val ownership: Ownership,
     private val fleet: Fleet,
+    private val orders: Orders,
 ) {
     private class Errors(
         var count: Int,
         var notBefore: Micros,
     )
 
+    /** What one machine proves and the records do not show yet. */
+    private class Facts(
+        val done: Map<TaskId, Int>,
+        val over: Map<TaskId, Int>,
+        /**
+         * Proven by absence or a lapsed lease, which holds only as long as the machine is ours: its next controller
+         * may send an absent attempt again.
+         */
+        val whileOurs: Boolean,
+        val freed: Resources,
+    )
+
     /** Machines proven gone with everything on them. */
     private val gone = HashSet<MachineId>()
     private val errors = HashMap<JobId, Errors>()
     private val fullUntil = HashMap<MachineId, Micros>()
+    private val facts = HashMap<MachineId, Facts>()
+    private val machinesOf = HashMap<JobId, HashSet<MachineId>>()
+
+    /** Since when something about a job waits to be written. */
+    private val oldest = HashMap<JobId, Micros>()
+    private val dirty = HashSet<MachineId>()
+    private var nextSweepUs: Micros = 0
+    private var epochSeen = -1L
 
     private val replica get() = kernel.replica
 
@@ -39,7 +66,8 @@
     ) {
         if (!gone.add(machine)) return
         LOG.info("machine gone machine={} reason={} tasks={}", machine.text, reason, replica.tasksOn(machine).size)
-        fleet.forget(machine)
+        fleet.bury(machine)
+        dirty += machine
     }
 
     /** A job whose tasks keep failing waits between attempts: it may fail everywhere until its user gives it up. */
@@ -47,69 +75,121 @@
 
     fun hasRoom(machine: MachineId): Boolean = kernel.now >= (fullUntil[machine] ?: 0)
 
-    /** Notes every proven change in [draftOf]. */
-    fun observe(draftOf: (JobId) -> Draft?) {
-        for (machine in replica.machinesWithTasks().toList()) {
-            if (machine in gone) {
-                replica.tasksOn(machine).forEach { (task, attempt) ->
-                    draftOf(task.job)?.requeue(task.index, Placement(machine, attempt))
+    /** Room on a machine that the records still show as taken. */
+    fun freedOn(machine: MachineId): Resources = facts[machine]?.freed ?: Resources.ZERO
+
+    /** Looks at machines of which something is new; at all of them now and then, for what only time proves. */
+    fun look(changed: Collection<MachineId>) {
+        dirty += changed
+        if (kernel.now >= nextSweepUs || replica.controlEpoch != epochSeen) {
+            nextSweepUs = kernel.now + SWEEP
+            epochSeen = replica.controlEpoch
+            dirty += replica.machinesWithTasks()
+        }
+        dirty.forEach(::examine)
+        dirty.clear()
+    }
+
+    private fun examine(machine: MachineId) {
+        val before = facts.remove(machine)
+        before?.let { old -> (old.done.keys + old.over.keys).forEach { machinesOf[it.job]?.remove(machine) } }
+        val tasks = replica.tasksOn(machine)
+        val found = if (tasks.isEmpty()) null else prove(machine, tasks, before)
+        if (found == null || (found.done.isEmpty() && found.over.isEmpty())) return
+        facts[machine] = found
+        for (task in found.done.keys + found.over.keys) {
+            machinesOf.getOrPut(task.job) { HashSet() } += machine
+            oldest.putIfAbsent(task.job, kernel.now)
+        }
+    }
+
+    private fun prove(
+        machine: MachineId,
+        tasks: Map<TaskId, Int>,
+        before: Facts?,
+    ): Facts? {
+        if (machine in gone) return Facts(emptyMap(), tasks.toMap(), false, Resources.ZERO)
+        val view = fleet.view(machine) ?: return null
+        val claim = ownership.control(machine) ?: return null
+        val mine = ownership.isMine(claim) && replica.revision >= claim.version
+        if (mine && fleet.hasLapsed(view)) {
+            if (before?.whileOurs != true) LOG.debug("lease lapsed machine={}", machine.text)
+            return Facts(emptyMap(), tasks.toMap(), true, Resources.ZERO)
+        }
+        val done = HashMap<TaskId, Int>()
+        val over = HashMap<TaskId, Int>()
+        var freed = Resources.ZERO
+        var absent = false
+        for ((task, attempt) in tasks) {
+            val id = AttemptId(task, attempt)
+            val job = replica.job(task.job) ?: continue
+            when (val proof = view.proof(id, if (mine) claim.version else NO_TOKEN)) {
+                Proof.None -> continue
+                Proof.Completed -> done[task] = attempt
+                is Proof.Over -> {
+                    // Absent and still wanted here: it will be sent again, which is quicker than another assignment.
+                    val wanted = proof.cause == null && job.stage == StoredStage.OPEN && !orders.isEmptying(view, claim) && id !in orders.stopping
+                    if (wanted) continue
+                    over[task] = attempt
+                    absent = absent || proof.cause == null
+                    if (before?.over?.get(task) != attempt) note(view, id, proof.cause)
                 }
-                continue
             }
-            val view = fleet.view(machine) ?: continue
-            val claim = ownership.control(machine) ?: continue
-            val mine = ownership.isMine(claim) && replica.revision >= claim.version
-            if (mine && fleet.hasLapsed(view)) {
-                lapsed(machine, draftOf)
-                continue
-            }
-            for ((task, attempt) in replica.tasksOn(machine)) {
-                apply(view, task, attempt, if (mine) claim.version else NO_TOKEN, draftOf)
+            freed += job.spec.demand
+        }
+        return Facts(done, over, absent, freed)
+    }
+
+    /** Notes in [draft] all that is proven of its job. */
+    fun apply(draft: Draft) {
+        val id = draft.before.id
+        for (machine in machinesOf[id].orEmpty()) {
+            val known = facts[machine] ?: continue
+            for ((task, attempt) in known.done) if (task.job == id && draft.before.placement(task.index) == Placement(machine, attempt)) draft.finish(task.index)
+            for ((task, attempt) in known.over) {
+                if (task.job != id) continue
+                draft.requeue(task.index, Placement(machine, attempt))
+                // Had somebody taken the machine over, they might have answered its worker.
+                if (known.whileOurs) draft.guards += ownership.guards(machine)
             }
         }
     }
 
-    /** Guarded by our claim: had somebody taken the machine over, they might have answered its worker. */
-    private fun lapsed(
-        machine: MachineId,
-        draftOf: (JobId) -> Draft?,
-    ) {
-        for ((task, attempt) in replica.tasksOn(machine)) {
-            val draft = draftOf(task.job) ?: continue
-            draft.requeue(task.index, Placement(machine, attempt))
-            draft.guards += ownership.guards(machine)
+    /**
+     * Jobs of which something must be written now: tasks that have to move, the end of a job, the last of its
+     * tasks on our machines, or what has waited long enough.
+     */
+    fun due(): List<JobId> {
+        machinesOf.values.removeIf { it.isEmpty() }
+        oldest.keys.retainAll(machinesOf.keys)
+        return oldest.keys.filter { id ->
+            val job = replica.job(id) ?: return@filter false
+            kernel.now - (oldest[id] ?: kernel.now) >= LAZY || isUrgent(id, job)
         }
-        LOG.debug("lease lapsed machine={}", machine.text)
     }
 
-    private fun apply(
-        view: MachineView,
-        task: TaskId,
-        attempt: Int,
-        token: Long,
-        draftOf: (JobId) -> Draft?,
-    ) {
-        val id = AttemptId(task, attempt)
-        when (val proof = view.proof(id, token)) {
-            Proof.None -> Unit
-            Proof.Completed -> draftOf(task.job)?.finish(task.index)
-            is Proof.Over -> {
-                val job = replica.job(task.job) ?: return
-                val absent = proof.cause == null
-                // Absent and still wanted here: it will be sent again, which is quicker than another assignment.
-                if (absent && job.stage == StoredStage.OPEN && !fleet.isEmptying(view) && id !in fleet.stopping) return
-                val draft = draftOf(task.job) ?: return
-                draft.requeue(task.index, Placement(view.id, attempt))
-                note(view.id, id, proof.cause)
-            }
+    private fun isUrgent(
+        id: JobId,
+        job: mintpick.core.Job,
+    ): Boolean {
+        var known = 0
+        for (machine in machinesOf[id].orEmpty()) {
+            val here = facts[machine] ?: continue
+            known += here.done.keys.count { it.job == id }
+            val over = here.over.keys.count { it.job == id }
+            known += over
+            if (over > 0 && job.stage == StoredStage.OPEN) return true
         }
+        // Nothing of it is left that could be proven here soon: it has ended, or what is left waits or is elsewhere.
+        return known >= job.placements().count { (_, at) -> ownership.controls(at.machine) }
     }
 
     private fun note(
-        machine: MachineId,
+        view: MachineView,
         attempt: AttemptId,
         cause: ExitCause?,
     ) {
+        val machine = view.id
         when (cause) {
             ExitCause.ERROR -> {
                 fleet.failed(machine, attempt.task.job.text)
@@ -135,5 +215,9 @@
         private const val MAX_DOUBLINGS = 7
         private const val MAX_PAUSE: Micros = 30 * SECOND
         private const val FULL_PAUSE: Micros = SECOND
+        private const val SWEEP: Micros = SECOND
+
+        /** How long finished tasks may wait to be written together. */
+        private const val LAZY: Micros = 3_000 * MILLI
     }
 }
--- a/src/main/kotlin/mintpick/engine/Ownership.kt
+++ b/src/main/kotlin/mintpick/engine/Ownership.kt
@@ -1,6 +1,7 @@
 package mintpick.engine
 
 import com.google.common.hash.Hashing
+import kotlinx.serialization.json.JsonElement
 import mintpick.core.JobId
 import mintpick.core.MILLI
 import mintpick.core.MachineId
@@ -15,8 +16,9 @@
 import org.slf4j.LoggerFactory
 
 /**
- * Who may command which machine and place which job. Machines and jobs hash into fixed shards; a claim of
- * a shard hangs on its controller's lease and its version is the fencing token of the shard's machines.
+ * Who may command which machine and place which job. Machines and jobs hash into fixed parts; a part of a zone
+ * is a shard, so that in a cut between zones each side can take what it reaches as a whole, and nothing else. A
+ * claim of a shard hangs on its controller's lease and its version is the fencing token of the shard's machines.
  * A claim may be overwritten at any time: every placement is guarded by it, and workers drop lower tokens.
  */
 class Ownership(
@@ -28,27 +30,54 @@
         val sinceUs: Micros,
     )
 
+    private val zones = kernel.settings.zones
+    private val shards = PARTS * zones.size
     private val seen = HashMap<Int, Seen>()
     private val absentSince = HashMap<Int, Micros>()
     private val busy = HashSet<String>()
     private val raises = HashMap<String, Micros>()
+    private val shardOf = HashMap<MachineId, Int>()
+    private val takeovers = HashMap<Int, MutableList<() -> Unit>>()
     private var nextTickUs: Micros = 0
 
+    /** Whether all controllers are in touch, so that parts may go back to where they belong. */
+    var calm: () -> Boolean = { true }
+
     private val replica get() = kernel.replica
 
-    fun shardOf(name: String): Int = Math.floorMod(Hashing.murmur3_32_fixed().hashUnencodedChars(name).asInt(), SHARDS)
+    /** The part of the cluster that a machine or job hashes into, in every zone. */
+    fun part(name: String): Int = Math.floorMod(Hashing.murmur3_32_fixed().hashUnencodedChars(name).asInt(), PARTS)
+
+    /** Notes where a machine is; before that nobody commands it. */
+    fun meet(
+        machine: MachineId,
+        zone: String,
+    ) {
+        shardOf.getOrPut(machine) { maxOf(0, zones.indexOf(zone)) * PARTS + part(machine.text) }
+    }
+
+    fun forget(machine: MachineId) {
+        shardOf.remove(machine)
+    }
+
+    fun shard(machine: MachineId): Int? {
+        shardOf[machine]?.let { return it }
+        meet(machine, replica.machines[machine]?.record?.zone ?: return null)
+        return shardOf[machine]
+    }
 
     /** The record that gives the right to command [machine]: a borrowing, else its shard's claim. */
-    fun control(machine: MachineId): Claim? = replica.borrows[machine] ?: replica.claims[shardOf(machine.text)]
+    fun control(machine: MachineId): Claim? = replica.borrows[machine] ?: shard(machine)?.let { replica.claims[it] }
 
-    fun controlKey(machine: MachineId): String =
-        if (machine in replica.borrows) Keys.borrow(machine.text) else Keys.shard(shardOf(machine.text))
+    private fun controlKey(machine: MachineId): String? =
+        if (machine in replica.borrows) Keys.borrow(machine.text) else shard(machine)?.let { Keys.shard(it) }
 
     fun isMine(claim: Claim?): Boolean = claim != null && claim.node == kernel.me && claim.lease == link.lease
 
     fun controls(machine: MachineId): Boolean = isMine(control(machine))
 
-    fun home(job: JobId): NodeId? = replica.claims[shardOf(job.text)]?.node
+    /** The controller that places a job first: the holder of its part in the first zone. */
+    fun home(job: JobId): NodeId? = replica.claims[part(job.text)]?.node
 
     val isLeader: Boolean get() = isMine(replica.leader)
 
@@ -57,10 +86,9 @@
     /** What must hold for a placement on [machine] to be this controller's to make. */
     fun guards(machine: MachineId): List<Guard> {
         val borrow = replica.borrows[machine]
-        val borrowGuard = Guard(Keys.borrow(machine.text), borrow?.version ?: 0)
-        if (borrow != null) return listOf(borrowGuard)
-        val shard = shardOf(machine.text)
-        return listOf(Guard(Keys.shard(shard), replica.claims[shard]?.version ?: 0), borrowGuard)
+        if (borrow != null) return listOf(Guard(Keys.borrow(machine.text), borrow.version))
+        val shard = shard(machine) ?: return emptyList()
+        return listOf(Guard(Keys.shard(shard), replica.claims[shard]?.version ?: 0), Guard(Keys.epoch(shard), replica.version(Keys.epoch(shard))))
     }
 
     fun tick() {
@@ -75,7 +103,7 @@
     }
 
     private fun observe() {
-        for (shard in 0 until SHARDS) {
+        for (shard in 0 until shards) {
             val claim = replica.claims[shard]
             if (claim == null) {
                 absentSince.putIfAbsent(shard, kernel.now)
@@ -103,51 +131,66 @@
         if (borrowed.isNotEmpty()) claim(borrowed.map { (machine, claim) -> Keys.borrow(machine.text) to claim.version }, "restored")
     }
 
+    private val everybody = (kernel.settings.peers.map { it.node } + kernel.settings.node).sorted().map(::NodeId)
+
+    private fun live(): List<NodeId> = replica.nodes.keys.sortedBy { it.text }
+
+    /** Who holds a part when all is well. */
+    private fun holder(
+        shard: Int,
+        live: List<NodeId>,
+    ): NodeId? = if (live.isEmpty()) null else live[shard % PARTS % live.size]
+
     private fun claimFree() {
-        val free = (0 until SHARDS).filter { it !in replica.claims }
+        val free = (0 until shards).filter { it !in replica.claims }
         if (free.isEmpty()) return
         val mine = replica.claims.values.count { it.node == kernel.me }
-        val live = replica.nodes.keys.sortedBy { it.text }
+        // Just after a start the others are about to come, too: each takes what will be its own.
         val settled = kernel.now - link.servingSinceUs > SETTLE
-        val share = ceilDiv(SHARDS, if (settled) maxOf(1, live.size) else kernel.settings.peers.size + 1)
+        val live = if (settled) live() else everybody
+        val share = ceilDiv(shards, maxOf(1, live.size))
         val rank = live.indexOf(kernel.me).coerceAtLeast(0)
         val wanted =
             free.filter { shard ->
                 val waited = kernel.now - (absentSince[shard] ?: kernel.now)
-                (live.isNotEmpty() && shard % live.size == rank) || waited > rank * STAGGER + STAGGER
+                holder(shard, live) == kernel.me || waited > rank * STAGGER + STAGGER + if (settled) 0 else SETTLE
             }
         val take = wanted.take((share - mine).coerceAtLeast(0))
         if (take.isNotEmpty()) claim(take.map { Keys.shard(it) to 0L }, "free")
     }
 
-    /** Takes old claims from a controller that holds more than its part. */
+    /** Takes old claims back to where they belong, so that each controller has its part in every zone. */
     private fun rebalance() {
-        val counts = replica.claims.values.groupingBy { it.node }.eachCount()
-        val live = replica.nodes.keys
-        val mine = counts[kernel.me] ?: 0
-        if (live.size < 2 || mine >= SHARDS / live.size) return
-        val (richest, count) = counts.filterKeys { it != kernel.me }.maxByOrNull { it.value } ?: return
-        if (count <= ceilDiv(SHARDS, live.size) && mine + 1 >= count) return
-        val candidates =
-            replica.claims
-                .filter { (shard, claim) -> claim.node == richest && kernel.now - (seen[shard]?.sinceUs ?: kernel.now) > KEEP }
-                .toList()
-                .take(minOf(SHARDS / live.size - mine, (count - mine) / 2))
-        if (candidates.isNotEmpty()) claim(candidates.map { (shard, claim) -> Keys.shard(shard) to claim.version }, "rebalanced")
+        val live = live()
+        if (live.size < 2 || kernel.now - link.servingSinceUs < SETTLE || !calm()) return
+        val wrong =
+            replica.claims.filter { (shard, claim) ->
+                claim.node != kernel.me && holder(shard, live) == kernel.me && kernel.now - (seen[shard]?.sinceUs ?: kernel.now) > KEEP
+            }
+        if (wrong.isNotEmpty()) claim(wrong.map { (shard, claim) -> Keys.shard(shard) to claim.version }, "rebalanced")
     }
 
     /**
-     * Takes over one machine whose controller does not serve it, and runs [then] when that is decided. Never its whole shard: in a cut between
-     * zones the shard's other machines are served where they are.
+     * Takes over a machine whose controller does not serve it, and runs [then] when that is decided: with its
+     * whole shard if [whole], since a write for each of hundreds of machines would take longer than their leases.
      */
     fun adopt(
         machine: MachineId,
+        whole: Boolean,
         reason: String,
         then: () -> Unit,
     ) {
         val claim = control(machine)
-        if (claim == null || isMine(claim)) return then()
-        claim(listOf(Keys.borrow(machine.text) to (replica.borrows[machine]?.version ?: 0)), reason) { then() }
+        val shard = shard(machine)
+        if (claim == null || shard == null || isMine(claim)) return then()
+        if (!whole || machine in replica.borrows) {
+            val targets = listOf(Keys.borrow(machine.text) to (replica.borrows[machine]?.version ?: 0))
+            return claim(targets, reason, setOf(shard)) { then() }
+        }
+        val waiting = takeovers.getOrPut(shard) { ArrayList() }
+        waiting += then
+        if (waiting.size > 1) return
+        claim(listOf(Keys.shard(shard) to claim.version), reason) { takeovers.remove(shard)?.forEach { it() } }
     }
 
     /** Writes the record that commands [machine] anew, so that its token rises above all that was sent before. */
@@ -157,17 +200,18 @@
     ) {
         val claim = control(machine)
         val key = controlKey(machine)
-        if (claim == null || !isMine(claim) || kernel.now - (raises[key] ?: -RAISE_EVERY) < RAISE_EVERY) return
+        if (claim == null || key == null || !isMine(claim) || kernel.now - (raises[key] ?: -RAISE_EVERY) < RAISE_EVERY) return
         raises[key] = kernel.now
         claim(listOf(key to claim.version), reason)
     }
 
-    fun record(): kotlinx.serialization.json.JsonElement? =
+    private fun record(): JsonElement? =
         link.lease?.let { WireJson.encodeToJsonElement(ClaimRecord.serializer(), ClaimRecord(kernel.me.text, it)) }
 
     /**
-     * Takes machines from their shards' owners, whose guards fail from the write on. What they placed before
-     * has a lower revision, so once our records are as new as the borrowing, they show all of it.
+     * Takes machines from their shards' owners, whose guards fail from the write on: it raises their shards'
+     * epochs. What they placed before has a lower revision, so once our records are as new as the borrowing,
+     * they show all of it.
      */
     fun borrow(
         machines: Collection<MachineId>,
@@ -175,9 +219,10 @@
     ) {
         if (!isLeader) return
         // One that another controller has adopted is taken from it in the same way.
-        val free = machines.filter { !controls(it) }.take(kernel.settings.limits.transactionOps / 2)
+        val free = machines.filter { !controls(it) && shard(it) != null }.take(maxOf(1, kernel.settings.limits.transactionOps / 2))
         if (free.isEmpty()) return
-        claim(free.map { Keys.borrow(it.text) to (replica.borrows[it]?.version ?: 0L) }, "borrowed") { done ->
+        val targets = free.map { Keys.borrow(it.text) to (replica.borrows[it]?.version ?: 0L) }
+        claim(targets, "borrowed", free.mapNotNullTo(HashSet()) { shard(it) }) { done ->
             if (done) {
                 link.caughtUp { }
                 free.forEach(then)
@@ -196,13 +241,15 @@
     private fun claim(
         targets: List<Pair<String, Long>>,
         reason: String,
+        epochs: Set<Int> = emptySet(),
         then: (Boolean) -> Unit = {},
     ) {
         val record = record() ?: return then(false)
-        val open = targets.filter { it.first !in busy }.take(kernel.settings.limits.transactionOps)
+        val open = targets.filter { it.first !in busy }.take(maxOf(1, kernel.settings.limits.transactionOps - epochs.size))
         if (open.isEmpty() || link.writesAllowed() < 1) return then(false)
         busy += open.map { it.first }
-        link.transact(open.map { Guard(it.first, it.second) }, open.map { Write(it.first, record, leased = true) }) { result ->
+        val writes = open.map { Write(it.first, record, leased = true) } + epochs.map { Write(Keys.epoch(it), record) }
+        link.transact(open.map { Guard(it.first, it.second) }, writes) { result ->
             busy -= open.map { it.first }.toSet()
             if (result is TransactionResult.Committed) {
                 LOG.info("claimed keys={} token={} reason={}", open.map { it.first.removePrefix(Keys.ROOT) }, result.revision, reason)
@@ -218,11 +265,11 @@
 
     companion object {
         private val LOG = LoggerFactory.getLogger(Ownership::class.java)
-        const val SHARDS = 12
+        const val PARTS = 12
         private const val TICK: Micros = 100 * MILLI
         private const val SETTLE: Micros = 3 * SECOND
         private const val STAGGER: Micros = 300 * MILLI
-        private const val KEEP: Micros = 40 * SECOND
+        private const val KEEP: Micros = 25 * SECOND
         private const val RAISE_EVERY: Micros = 2 * SECOND
     }
 }
--- a/src/main/kotlin/mintpick/engine/Preemptor.kt
+++ b/src/main/kotlin/mintpick/engine/Preemptor.kt
@@ -25,6 +25,7 @@
     private val kernel: Kernel,
     private val ownership: Ownership,
     private val fleet: Fleet,
+    private val orders: Orders,
     private val accounting: Accounting,
     private val operators: Operators,
 ) {
@@ -42,19 +43,23 @@
 
     private val replica get() = kernel.replica
 
-    fun tick() {
-        for (machine in replica.machinesWithTasks()) {
+    fun tick(touched: Collection<MachineId>) {
+        for (machine in touched) {
             for ((task, attempt) in replica.tasksOn(machine)) seenSince.putIfAbsent(AttemptId(task, attempt), kernel.now)
         }
-        if (seenSince.size > CLEAN_ABOVE) {
+        if (seenSince.size > cleanAbove) {
             seenSince.keys.removeIf { replica.job(it.task.job)?.placement(it.task.index)?.attempt != it.attempt }
+            cleanAbove = maxOf(CLEAN_ABOVE, seenSince.size * 2)
         }
+        if (quietUntil.size > CLEAN_ABOVE) quietUntil.values.removeIf { it < kernel.now }
     }
 
-    /** Looks for room on [rooms] for tasks of [job] that wait in vain. */
+    private var cleanAbove = CLEAN_ABOVE
+
+    /** Looks for room on a sample of [among] for tasks of [job] that wait in vain. */
     fun seek(
         job: Job,
-        rooms: Collection<Room>,
+        among: Placer.Rooms,
         perZone: Map<String, Int>,
     ) {
         if (!job.spec.isProduction && !accounting.isFunded(job.id)) return
@@ -65,9 +70,10 @@
                 job.spec.team,
                 job.spec.priority,
                 accounting.isFunded(job.id),
-                accounting.tree.isOverShare(job.spec.team, accounting::use),
+                accounting.isOverShare(job.spec.team),
             )
         val counts = HashMap(perZone)
+        val rooms = among.some(kernel.random, SAMPLE)
         repeat(minOf(job.waiting, MAX_AT_ONCE)) {
             val choice =
                 rooms
@@ -92,7 +98,7 @@
             replica
                 .tasksOn(room.machine)
                 .map { AttemptId(it.key, it.value) }
-                .filter { it !in fleet.stopping && yields(it, claimant) }
+                .filter { it !in orders.stopping && yields(it, claimant) }
                 .sortedByDescending { seenSince[it] ?: kernel.now }
         for (victim in candidates) {
             if (demand.fits(free)) break
@@ -115,7 +121,7 @@
         val fetch = replica.types[type]?.fetchGbPerS?.takeIf { it > 0 }?.let { (spec.imageGb / it * SECOND).toLong() } ?: 0
         val window = Contract.minimumRuntime(spec, fetch, operators.minimumRuntimeCapUs)
         val expired = kernel.now - (seenSince[attempt] ?: kernel.now) > window
-        val over = accounting.tree.isOverShare(spec.team, accounting::use)
+        val over = accounting.isOverShare(spec.team)
         return Yielding.yields(Occupant(spec.team, spec.priority, accounting.isFunded(job.id), expired, over), claimant)
     }
 
@@ -131,7 +137,7 @@
             return
         }
         LOG.info("preempt for={} machine={} victims={} reason=owed", job.id.text, choice.machine.text, choice.victims.map { it.task })
-        choice.victims.forEach { fleet.stopping[it] = "preempted" }
+        choice.victims.forEach { orders.stopping[it] = "preempted" }
         fleet.push(choice.machine)
     }
 
@@ -140,6 +146,7 @@
         private const val PAUSE: Micros = SECOND
         private const val MACHINE_PAUSE: Micros = SECOND / 2
         private const val MAX_AT_ONCE = 4
+        private const val SAMPLE = 48
         private const val CLEAN_ABOVE = 5_000
     }
 }
--- a/src/main/kotlin/mintpick/engine/Replica.kt
+++ b/src/main/kotlin/mintpick/engine/Replica.kt
@@ -32,7 +32,8 @@
 data class KnownMachine(
     val id: MachineId,
     val record: MachineRecord,
-    val version: Long,
+    /** Stored by an earlier version, in a record of its own. */
+    val legacy: Boolean = false,
 )
 
 /** How a job stands that needs nothing more. */
@@ -65,6 +66,22 @@
         private set
     var types: Map<String, MachineType> = emptyMap()
         private set
+    private val tables = HashMap<Int, Set<MachineId>>()
+    private val waitingIds = LinkedHashSet<JobId>()
+    private val cancelledIds = HashSet<JobId>()
+
+    /** Machines whose assigned tasks or records have changed since this was last emptied. */
+    val touched = HashSet<MachineId>()
+
+    /** Rises whenever a claim, a borrowing or the set of machines changes. */
+    var controlEpoch = 0L
+        private set
+
+    /** Open jobs with tasks that wait. */
+    fun waitingJobs(): List<Job> = waitingIds.mapNotNull { jobMap[it] }
+
+    /** Cancelled jobs with tasks still to be seen gone. */
+    fun cancelledJobs(): Set<JobId> = cancelledIds
 
     fun job(id: JobId): Job? = jobMap[id]
 
@@ -120,15 +137,20 @@
         value: JsonElement?,
         version: Long,
     ) {
+        if (subject is Keys.Subject.Shard || subject is Keys.Subject.Borrow || subject is Keys.Subject.Fleet || subject is Keys.Subject.Machine) controlEpoch++
         when (subject) {
             is Keys.Subject.Job -> applyJob(JobId(subject.id), value, version)
             is Keys.Subject.Chunk -> applyChunk(subject, value, version)
             is Keys.Subject.Shard -> set(claims, subject.index, value) { claim(it, version) }
             is Keys.Subject.Borrow -> set(borrows, MachineId(subject.machine), value) { claim(it, version) }
-            is Keys.Subject.Machine ->
+            is Keys.Subject.Machine -> {
                 set(machines, MachineId(subject.machine), value) {
-                    KnownMachine(MachineId(subject.machine), WireJson.decodeFromJsonElement(MachineRecord.serializer(), it), version)
+                    KnownMachine(MachineId(subject.machine), WireJson.decodeFromJsonElement(MachineRecord.serializer(), it), legacy = true)
                 }
+                touched += MachineId(subject.machine)
+            }
+            is Keys.Subject.Fleet -> applyFleet(subject.part, value)
+            Keys.Subject.Epoch -> Unit
             is Keys.Subject.Node -> set(nodes, NodeId(subject.node), value) { WireJson.decodeFromJsonElement(NodeRecord.serializer(), it) }
             is Keys.Subject.Usage -> set(usage, NodeId(subject.node), value) { WireJson.decodeFromJsonElement(UsageRecord.serializer(), it) }
             is Keys.Subject.Team -> Unit
@@ -137,6 +159,28 @@
         }
     }
 
+    private fun applyFleet(
+        part: Int,
+        value: JsonElement?,
+    ) {
+        val after = value?.let(RecordCodec::decodeFleet).orEmpty()
+        for (id in tables[part].orEmpty()) {
+            if (id in after) continue
+            machines.remove(id)
+            touched += id
+        }
+        for ((id, record) in after) {
+            if (machines[id]?.let { it.record == record && !it.legacy } == true) continue
+            machines[id] = KnownMachine(id, record)
+            touched += id
+        }
+        tables[part] = after.keys
+    }
+
+    /** The machines of one part's record. */
+    fun tableOf(part: Int): Map<MachineId, MachineRecord> =
+        tables[part].orEmpty().mapNotNull { id -> machines[id]?.let { id to it.record } }.toMap()
+
     private inline fun <K, V> set(
         map: MutableMap<K, V>,
         key: K,
@@ -193,6 +237,8 @@
         before?.let { account(it, -1) }
         after?.let { account(it, 1) }
         if (after == null) jobMap.remove(id) else jobMap[id] = after
+        if (after != null && after.waiting > 0) waitingIds += id else waitingIds -= id
+        if (after != null && after.stage == StoredStage.CANCELLED) cancelledIds += id else cancelledIds -= id
     }
 
     private fun account(
@@ -203,6 +249,7 @@
         var count = 0
         for ((task, at) in job.placements()) {
             count++
+            touched += at.machine
             val tasks = tasksByMachine.getOrPut(at.machine) { HashMap() }
             val id = TaskId(job.id, task)
             if (sign > 0) tasks[id] = at.attempt else tasks.remove(id)
--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -6,7 +6,6 @@
 import mintpick.core.MILLI
 import mintpick.core.MachineId
 import mintpick.core.Micros
-import mintpick.core.NodeId
 import mintpick.core.Placer
 import mintpick.core.Resources
 import mintpick.core.Room
@@ -15,39 +14,66 @@
 import mintpick.core.demand
 import mintpick.core.isGang
 import mintpick.core.isProduction
-import mintpick.store.Keys
-import mintpick.wire.Guard
 import mintpick.wire.Retiring
+import mintpick.wire.StoredStage
 
 /** Orders waiting jobs by fair share and assigns their tasks to machines. */
 class Scheduling(
     private val kernel: Kernel,
     private val ownership: Ownership,
     private val fleet: Fleet,
+    private val orders: Orders,
     private val observer: Observer,
     private val accounting: Accounting,
     private val standing: Standing,
     private val preemptor: Preemptor,
     private val operators: Operators,
 ) {
-    private var reservedOn: (MachineId) -> Resources = { Resources.ZERO }
+    /** A waiting job as this controller has seen it: since when its record has not moved. */
+    private class Still(
+        val version: Long,
+        val sinceUs: Micros,
+    )
+
+    /** What one pass works with. */
+    private class Pass(
+        val changes: Changes,
+        val draftOf: (JobId) -> Draft?,
+        val mine: Placer.Rooms,
+        val wide: Placer.Rooms,
+    ) {
+        val teams = HashMap<String, Resources>()
+        val toBorrow = LinkedHashSet<MachineId>()
+        var writes = 0
+        var hurried = false
+    }
+
     private val placer = Placer(kernel.random, operators.placementSample)
+    private val limits = kernel.settings.teams.associateBy { it.name }
+    private val still = HashMap<JobId, Still>()
+    private val lastPart = HashMap<JobId, Micros>()
+    private var nextPassUs: Micros = 0
     private val replica get() = kernel.replica
 
     /** Jobs that found no room in the last pass, for the capacity planner and for preemption. */
     var starved: List<Job> = emptyList()
         private set
 
+    /** Whether some of them found no room here, rather than no time to be written. */
+    var lacksRoom = false
+        private set
+
     /** Waiting jobs, first the one to be served first. */
     fun order(jobs: Collection<Job>): List<Job> {
         val cpus = replica.machines.values.sumOf { replica.types[it.record.type]?.cpus ?: 0.0 }
+        val places = accounting.places()
         val turns = jobs.associate { it.id to turn(it, cpus) }
         return jobs.sortedWith(
             // Exception to share order: services that users look at wait for nobody. See docs/design.md.
             compareBy<Job> { !it.spec.isProduction }
                 .thenBy { !accounting.isFunded(it.id) }
                 .thenBy { it.spec.priority }
-                .then { a, b -> accounting.tree.compare(a.spec.team, b.spec.team, accounting::use) }
+                .thenBy { places[it.spec.team] ?: Int.MAX_VALUE }
                 .thenBy { turns[it.id] }
                 .thenBy { it.id.text },
         )
@@ -55,14 +81,15 @@
 
     /**
      * A team's own jobs go in order of submission, but small ones pass large ones: a job counts as submitted
-     * later by a multiple of the time that its remaining work would take the whole cluster.
+     * later by a multiple of the time that its remaining work would take the whole cluster. Bounded, so that
+     * waiting makes up for any size: without the bound the largest would never begin while small ones keep coming.
      */
     private fun turn(
         job: Job,
         cpus: Double,
     ): Micros {
         val work = job.waiting * job.spec.estimateS * job.spec.cpus / maxOf(cpus, 1.0)
-        return job.submittedUs + (work * operators.sizeHandicap * SECOND).toLong()
+        return job.submittedUs + minOf((work * operators.sizeHandicap * SECOND).toLong(), MOST_HANDICAP)
     }
 
     fun schedule(
@@ -70,105 +97,147 @@
         drafts: Map<JobId, Draft>,
         draftOf: (JobId) -> Draft?,
     ) {
-        // As they will be once what was just observed is written, so that a lost task moves in the same write.
-        val waiting = replica.jobs.map { drafts[it.id]?.job ?: it }.filter { it.waiting > 0 }
+        // What was just observed moves in the same write; otherwise planning more often than this finds nothing new.
+        val urgent = drafts.values.any { it.job.waiting > it.before.waiting }
+        if (kernel.now < nextPassUs && !urgent) return
+        nextPassUs = kernel.now + PASS
+        val waiting = LinkedHashMap<JobId, Job>()
+        replica.waitingJobs().forEach { waiting[it.id] = it }
+        drafts.values.forEach { if (it.job.waiting > 0) waiting[it.job.id] = it.job else waiting.remove(it.job.id) }
+        still.keys.retainAll(waiting.keys)
+        lastPart.keys.retainAll(waiting.keys)
         if (waiting.isEmpty()) {
             starved = emptyList()
+            lacksRoom = false
             return
         }
-        reservedOn = changes::reservedOn
-        val mine = Placer.Rooms(rooms(kernel.me))
-        val wide = if (ownership.isLeader) Placer.Rooms(rooms(null)) else null
-        val toBorrow = LinkedHashSet<MachineId>()
+        val wide = Placer.Rooms.of(rooms(changes))
+        val pass = Pass(changes, draftOf, wide.part { it.own }, wide)
+        pass.hurried = waiting.size > HURRY
         val left = ArrayList<Job>()
-        val teams = HashMap<String, Resources>()
-        for (job in order(waiting)) {
+        val budget = changes.budget()
+        var short = false
+        for (job in order(waiting.values)) {
             if (!observer.mayPlace(job.id)) continue
-            val rooms = roomsFor(job, mine, wide)
-            val placed = if (rooms == null || !changes.isFree(job.id)) 0 else place(job, rooms, listOfNotNull(mine, wide), changes, teams, toBorrow, draftOf)
+            if (still[job.id]?.version != job.version) still[job.id] = Still(job.version, kernel.now)
+            val free = changes.isFree(job.id)
+            val rooms = roomsFor(job, pass)
+            // With more to write than the limits allow, batch jobs keep a part of it: one write starts many tasks.
+            val mayWrite = pass.writes < if (job.spec.isProduction) maxOf(1, (budget * PRODUCTION_WRITES).toInt()) else budget
+            if (!mayWrite && !job.spec.isProduction) {
+                left += job
+                continue
+            }
+            val placed = if (rooms == null || !free) 0 else place(job, rooms, pass, mayWrite)
             if (placed < job.waiting) {
                 left += job
-                if (placed == 0 && rooms != null && changes.isFree(job.id)) preemptor.seek(job, rooms.all(), zonesOf(job))
+                if (placed == 0 && rooms != null && free && mayWrite) {
+                    short = true
+                    preemptor.seek(job, rooms, zonesOf(job))
+                }
             }
         }
+        lacksRoom = short
         starved = left
-        if (toBorrow.isNotEmpty()) ownership.borrow(toBorrow, fleet::push)
+        if (pass.toBorrow.isNotEmpty()) ownership.borrow(pass.toBorrow, fleet::push)
     }
 
-    /** Home places what fits its own part as a whole; the leader takes the rest, from everybody's machines. */
+    /**
+     * Home places a job on its own part; the leader takes what no part can hold as a whole, from everybody's
+     * machines. Exception: what its home has had no room for may be placed by another controller on its part,
+     * first by the one that the job's id picks, so that two rarely write at once. See docs/design.md.
+     */
     private fun roomsFor(
         job: Job,
-        mine: Placer.Rooms,
-        wide: Placer.Rooms?,
+        pass: Pass,
     ): Placer.Rooms? {
         val home = ownership.home(job.id)
-        if (home == kernel.me) return if (fits(job, mine)) mine else wide
-        if (wide == null) return null
-        val part = home?.takeIf { ownership.isLive(it) } ?: return wide
-        return if (fits(job, Placer.Rooms(rooms(part)))) null else wide
+        val idle = kernel.now - (still[job.id]?.sinceUs ?: kernel.now)
+        if (ownership.isLeader && isLarge(job, idle)) {
+            if (!holds(job, pass.mine)) return pass.wide
+        } else if (home == kernel.me) {
+            return pass.mine
+        }
+        val helpsFirst = Math.floorMod(job.id.text.hashCode(), 2) == if (isNextAfter(home)) 0 else 1
+        if (home == kernel.me) return pass.mine
+        val helps = home == null || (standing.lacksRoom(home) && idle >= (if (helpsFirst) HELP_SOON else HELP_LATE))
+        return if (helps) pass.mine else null
     }
 
-    private fun fits(
+    private fun isNextAfter(home: mintpick.core.NodeId?): Boolean {
+        val all = (kernel.settings.peers.map { it.node } + kernel.settings.node).sorted()
+        return all[(all.indexOf(home?.text) + 1) % all.size] == kernel.settings.node
+    }
+
+    /** Placed whole or not at all, or in vain for a while. */
+    private fun isLarge(
+        job: Job,
+        idle: Micros,
+    ): Boolean = idle >= HELP_LATE && (job.spec.isGang || job.spec.oneZone || idle >= LARGE_AFTER)
+
+    /** Whether all of the job could be on these machines, were they empty. */
+    private fun holds(
         job: Job,
         rooms: Placer.Rooms,
-    ): Boolean =
-        placer
-            .place(job.spec, job.waitingTasks(), Placer.Rooms(rooms.all()), zonesOf(job), minOf(job.waiting, FIT_LIMIT))
-            .size >= minOf(job.waiting, FIT_LIMIT)
+    ): Boolean {
+        var count = 0
+        for (room in rooms.all()) {
+            if (Placer.allowed(job.spec, room.type, room.zone, room.spot)) count += job.spec.demand.countIn(room.total)
+            if (count >= job.waiting) return true
+        }
+        return false
+    }
 
     private fun place(
         job: Job,
         rooms: Placer.Rooms,
-        all: List<Placer.Rooms>,
-        changes: Changes,
-        teams: MutableMap<String, Resources>,
-        toBorrow: MutableSet<MachineId>,
-        draftOf: (JobId) -> Draft?,
+        pass: Pass,
+        mayWrite: Boolean,
     ): Int {
-        if (!changes.isTeamFree(job.spec.team)) return 0
-        val limit = minOf(teamRoom(job, teams), MAX_TASKS)
+        if (!pass.changes.isTeamFree(job.spec.team)) return 0
+        val limit = minOf(teamRoom(job, pass.teams), MAX_TASKS, job.waiting)
         if (limit <= 0) return 0
-        val draft = draftOf(job.id) ?: return 0
-        if (draft.job.stage != mintpick.wire.StoredStage.OPEN) return 0
-        val found = placer.place(job.spec, draft.job.waitingTasks(), Placer.Rooms(rooms.all()), zonesOf(draft.job), limit)
+        val found = placer.place(job.spec, job.waitingTasks(), rooms, zonesOf(job), limit, pass.hurried)
+        if (found.isEmpty()) return 0
         // Gangs start whole or not at all.
-        if (job.spec.isGang && (found.size < draft.job.waiting || found.mapTo(HashSet()) { it.second }.size > MAX_MACHINES)) return 0
+        if (job.spec.isGang && found.size < job.waiting) return 0
+        found.forEach { (_, machine) -> rooms.take(machine, job.spec.demand) }
+        // A machine that is borrowed takes work only after the old owner has surely stopped placing there.
+        found.mapNotNullTo(pass.toBorrow) { (_, machine) -> machine.takeIf { rooms[it]?.own == false } }
+        if (!mayWrite) return 0
+        val now = found.filter { (_, machine) -> rooms[machine]?.let { it.own && it.ready } == true }
+        if (now.isEmpty() || (job.spec.isGang && now.size < found.size)) return 0
+        // A part of a job is placed now and then, not for each task that ends or machine that comes up: the room is
+        // held for it meanwhile.
+        val isPart = now.size < job.waiting
+        if (isPart && kernel.now - (lastPart[job.id] ?: -PART_EVERY) < PART_EVERY) return 0
+        val draft = pass.draftOf(job.id) ?: return 0
+        if (draft.job.stage != StoredStage.OPEN) return 0
+        if (isPart) lastPart[job.id] = kernel.now
         val machines = LinkedHashSet<MachineId>()
         var count = 0
-        for ((task, machine) in found) {
-            if (machine !in machines && machines.size >= MAX_MACHINES) continue
-            all.forEach { it.take(machine, job.spec.demand) }
-            val room = rooms[machine] ?: continue
-            // A machine that is borrowed takes work only after the old owner has surely stopped placing there.
-            if (!room.own) toBorrow += machine
-            if (!room.own || !room.ready || (job.spec.isGang && found.any { rooms[it.second]?.ready != true })) continue
+        for ((task, machine) in now) {
+            // Each borrowed machine has a guard of its own, of which a transaction holds only so many.
+            if (machine !in machines && machine in replica.borrows && machines.count { it in replica.borrows } >= maxBorrowed) continue
+            if (!draft.place(task, machine)) continue
             machines += machine
-            draft.place(task, machine)
-            teams.merge(job.spec.team, job.spec.demand, Resources::plus)
+            pass.teams.merge(job.spec.team, job.spec.demand, Resources::plus)
             count++
         }
-        machines.forEach { guard(draft, it) }
-        if (LOG.isDebugEnabled && machines.isNotEmpty()) {
-            val cached = machines.count { m -> rooms.all().first { it.machine == m }.hasImage(job.spec.image) }
-            LOG.debug("place job={} tasks={} machines={} cached={} wide={}", job.id.text, count, machines.map { it.text }, cached, all.size)
-        }
+        machines.forEach { draft.guards += ownership.guards(it) }
+        pass.writes += maxOf(1, draft.touched.size)
+        if (LOG.isDebugEnabled) LOG.debug("place job={} tasks={} machines={} wide={}", job.id.text, count, machines.size, rooms === pass.wide)
         return count
     }
 
-    private fun guard(
-        draft: Draft,
-        machine: MachineId,
-    ) {
-        draft.guards += ownership.guards(machine)
-        draft.guards += Guard(Keys.machine(machine.text), replica.version(Keys.machine(machine.text)))
-    }
+    private val maxBorrowed = kernel.settings.limits.transactionOps
 
     /** How many more tasks the team's limit allows. */
     private fun teamRoom(
         job: Job,
         planned: Map<String, Resources>,
     ): Int {
-        val team = kernel.settings.teams.firstOrNull { it.name == job.spec.team } ?: return 0
+        val team = limits[job.spec.team] ?: return 0
         val used = replica.usedBy(team.name) + (planned[team.name] ?: Resources.ZERO)
         val limit =
             Resources(
@@ -186,52 +255,58 @@
         return counts
     }
 
-    /** Room on the machines of [part], or on everybody's if null. */
-    private fun rooms(part: NodeId?): List<Room> {
-        val hinted = HashMap<MachineId, Set<String>>()
-        for (hint in standing.hints()) {
-            hint.machines.filter { it.ageUs < HINT_AGE }.forEach { hinted[MachineId(it.machine)] = it.images.toSet() }
-        }
+    /** Room on our machines; for the leader on everybody's. */
+    private fun rooms(changes: Changes): List<Room> {
+        val hinted = if (ownership.isLeader) standing.hintedImages(kernel.settings.reportUs * 2) else emptyMap()
         return replica.machines.values.mapNotNull { known ->
             val claim = ownership.control(known.id) ?: return@mapNotNull null
-            if (part != null && claim.node != part) return@mapNotNull null
-            room(known, ownership.isMine(claim), hinted[known.id])
+            val own = ownership.isMine(claim)
+            if (own || known.id in hinted) room(known, claim, own, hinted[known.id], changes) else null
         }
     }
 
     private fun room(
         known: KnownMachine,
+        claim: Claim,
         own: Boolean,
         hint: Set<String>?,
+        changes: Changes,
     ): Room? {
         val type = replica.types[known.record.type]
         if (type == null || known.record.retiring != Retiring.NO || observer.isGone(known.id) || !observer.hasRoom(known.id)) return null
         val view = fleet.view(known.id)
-        if (view != null && fleet.isEmptying(view)) return null
+        if (view != null && orders.isEmptying(view, claim)) return null
         val settling = own && fleet.isSettling(known.id)
-        if (own && !settling && (view?.latest == null || !fleet.isFresh(view) || fleet.errorsOn(known.id) >= MAX_ERRORS)) return null
-        if (!own && hint == null) return null
+        if (own && !settling && !isUsable(view)) return null
         return Room(
             known.id,
             known.record.type,
             known.record.zone,
             known.record.spot,
-            type.capacity - replica.usedOn(known.id) - reservedOn(known.id),
+            type.capacity - replica.usedOn(known.id) + observer.freedOn(known.id) - changes.reservedOn(known.id),
             type.capacity,
             { view?.hasImage(it) == true || (hint != null && it in hint) },
             own,
-            if (known.record.spot) type.spotPrice else type.price,
             ready = !settling,
         )
     }
 
+    /** In touch both ways: nothing is placed where commands may not arrive, however many reports come. */
+    private fun isUsable(view: mintpick.core.MachineView?): Boolean =
+        view != null && fleet.isConfirmed(view) && fleet.isFresh(view) && !fleet.isUnreachable(view.id) && fleet.errorsOn(view.id) < MAX_ERRORS
+
     companion object {
         private val LOG = org.slf4j.LoggerFactory.getLogger(Scheduling::class.java)
-        private const val MAX_TASKS = 64
-        private const val MAX_MACHINES = 6
+        private const val MAX_TASKS = 512
         private const val MAX_ERRORS = 3
-        private const val FIT_LIMIT = 512
         private const val UNLIMITED = 1e15
-        private const val HINT_AGE: Micros = 5_000 * MILLI
+        private const val HURRY = 150
+        private const val PRODUCTION_WRITES = 0.6
+        private const val PASS: Micros = 120 * MILLI
+        private const val PART_EVERY: Micros = 800 * MILLI
+        private const val HELP_SOON: Micros = 1_200 * MILLI
+        private const val HELP_LATE: Micros = 3 * SECOND
+        private const val LARGE_AFTER: Micros = 15 * SECOND
+        private const val MOST_HANDICAP: Micros = 30 * SECOND
     }
 }
--- a/src/main/kotlin/mintpick/engine/Standing.kt
+++ b/src/main/kotlin/mintpick/engine/Standing.kt
@@ -14,18 +14,45 @@
     private class Heard(
         val atUs: Micros,
         val hint: PeerHint,
+        /** Its machines as of the last hint that listed them, with when each last reported, on our clock. */
+        val machines: Map<String, Micros>,
+        val images: Map<String, Set<String>>,
     )
 
     private val peers = HashMap<NodeId, Heard>()
 
     fun onHint(hint: PeerHint) {
-        if (kernel.settings.peers.any { it.node == hint.node }) peers[NodeId(hint.node)] = Heard(kernel.now, hint)
+        if (kernel.settings.peers.none { it.node == hint.node }) return
+        val node = NodeId(hint.node)
+        val before = peers[node]
+        peers[node] =
+            if (hint.listsMachines || before == null) {
+                Heard(
+                    kernel.now,
+                    hint,
+                    hint.machines.associate { it.machine to kernel.now - it.ageUs },
+                    hint.machines.associate { it.machine to it.images.toSet() },
+                )
+            } else {
+                Heard(kernel.now, hint, before.machines, before.images)
+            }
     }
 
-    fun hints(): List<PeerHint> = peers.values.filter { kernel.now - it.atUs < FRESH }.map { it.hint }
+    /** Images on machines that other controllers have heard from lately. */
+    fun hintedImages(within: Micros): Map<MachineId, Set<String>> {
+        val hinted = HashMap<MachineId, Set<String>>()
+        for (heard in peers.values) {
+            if (kernel.now - heard.atUs >= FRESH) continue
+            for ((machine, at) in heard.machines) if (kernel.now - at < within) hinted[MachineId(machine)] = heard.images[machine].orEmpty()
+        }
+        return hinted
+    }
 
     private val stateAgeUs: Micros get() = link.lastServedUs?.let { kernel.now - it } ?: Long.MAX_VALUE
 
+    /** Whether [node] could not place what waits there: it says so, or says nothing. */
+    fun lacksRoom(node: NodeId): Boolean = !hears(node) || peers[node]?.hint?.lacksRoom == true
+
     /** Whether [node] has spoken to us lately. */
     fun hears(node: NodeId): Boolean = peers[node]?.let { kernel.now - it.atUs < FRESH } ?: false
 
@@ -39,11 +66,11 @@
     fun heardElsewhere(
         machine: MachineId,
         to: NodeId? = null,
-        within: Micros = HEARD,
+        within: Micros = kernel.settings.reportUs + HEARD,
     ): Boolean =
         peers.any { (node, heard) ->
-            val hint = heard.hint.machines.firstOrNull { it.machine == machine.text }
-            (to == null || to == node) && hint != null && hint.ageUs + kernel.now - heard.atUs < within
+            val at = heard.machines[machine.text]
+            (to == null || to == node) && at != null && kernel.now - at < within
         }
 
     /** The state service serves us and our lease holds. */
--- a/src/main/kotlin/mintpick/engine/StateLink.kt
+++ b/src/main/kotlin/mintpick/engine/StateLink.kt
@@ -324,7 +324,7 @@
         const val LEASE_TTL: Micros = 5 * SECOND
         private const val TOUCH_EVERY: Micros = SECOND
         private const val FOLLOW_WAIT: Micros = 10 * SECOND
-        private const val FOLLOW_GAP: Micros = 80 * MILLI
-        private const val CATCH_UP_GAP: Micros = 100 * MILLI
+        private const val FOLLOW_GAP: Micros = 120 * MILLI
+        private const val CATCH_UP_GAP: Micros = 150 * MILLI
     }
 }
--- a/src/main/kotlin/mintpick/engine/Supply.kt
+++ b/src/main/kotlin/mintpick/engine/Supply.kt
@@ -9,6 +9,7 @@
 import mintpick.core.Shopper
 import mintpick.core.capacity
 import mintpick.core.demand
+import mintpick.core.isGang
 import mintpick.core.isProduction
 import mintpick.core.isService
 import mintpick.wire.JobSpec
@@ -25,6 +26,8 @@
     private val fleet: Fleet,
     private val observer: Observer,
     private val capacity: Capacity,
+    private val roster: Roster,
+    private val orders: Orders,
     private val scheduling: Scheduling,
     private val standing: Standing,
     private val operators: Operators,
@@ -110,13 +113,13 @@
         val known =
             replica.machines.values.mapNotNull { machine ->
                 val type = replica.types[machine.record.type]
-                val lost = fleet.view(machine.id)?.let { ownership.controls(machine.id) && (!fleet.isFresh(it) || fleet.isEmptying(it)) } ?: false
+                val lost = fleet.view(machine.id)?.let { ownership.controls(machine.id) && (!fleet.isFresh(it) || orders.isEmptying(it, ownership.control(it.id))) } ?: false
                 if (type == null || machine.record.retiring != Retiring.NO || observer.isGone(machine.id) || lost) {
                     null
                 } else {
                     val free = type.capacity - replica.usedOn(machine.id)
                     val record = machine.record
-                    Room(machine.id, type.name, record.zone, record.spot, free, type.capacity, { false }, true, 0.0, yielding(machine.id))
+                    Room(machine.id, type.name, record.zone, record.spot, free, type.capacity, { false }, true, yielding(machine.id))
                 }
             }
         val coming =
@@ -124,17 +127,17 @@
                 val type = replica.types[machine.offer.type] ?: return@mapNotNull null
                 // Some machines take several times as long to boot, or forever: nobody should wait for them.
                 if (kernel.now - machine.sinceUs > (type.bootS * LATE_BOOT * SECOND).toLong()) return@mapNotNull null
-                Room(machine.id, type.name, machine.offer.zone, machine.offer.spot, type.capacity, type.capacity, { false }, true, 1.0)
+                Room(machine.id, type.name, machine.offer.zone, machine.offer.spot, type.capacity, type.capacity, { false }, true, up = false)
             }
         val asked =
             capacity.asked().flatMap { (offer, count) ->
                 val type = replica.types[offer.type]
                 List(if (type == null) 0 else count) { i ->
                     val size = requireNotNull(type).capacity
-                    Room(MachineId("asked-$i"), offer.type, offer.zone, offer.spot, size, size, { false }, true, 1.0)
+                    Room(MachineId("asked-$i"), offer.type, offer.zone, offer.spot, size, size, { false }, true, up = false)
                 }
             }
-        return (known + coming + asked).sortedWith(compareBy({ it.price }, { it.free.dominantShare(it.total) }, { !it.spot }))
+        return (known + coming + asked).sortedWith(compareBy({ !it.up }, { it.free.dominantShare(it.total) }, { !it.spot }))
     }
 
     /** What batch work holds on a machine: services may have it, so it is no reason to rent more for them. */
@@ -152,18 +155,30 @@
      * what waits: longer than a part of what its class is expected to take altogether.
      */
     private fun waiting(rooms: List<Room>): List<Shopper.Want> {
-        val spotCpus = rooms.filter { it.spot && it.price == 0.0 }.sumOf { it.total.cpus }
+        val spotCpus = rooms.filter { it.spot }.sumOf { it.total.cpus }
         var queued = 0.0
         return scheduling
-            .order(replica.jobs.filter { it.waiting > 0 })
-            .take(MAX_WANTS)
+            .order(replica.waitingJobs())
             .map { job ->
                 queued += job.waiting * job.spec.cpus * job.spec.estimateS
                 val patience = (expectation[job.spec.jobClass] ?: DEFAULT_EXPECTATION_S) * operators.queuePart
                 Shopper.Want(job.spec, job.waiting, scheduling.zonesOf(job), queued > patience * spotCpus)
-            }
+            }.let(::merged)
+            .take(MAX_WANTS)
     }
 
+    /** Jobs that need the same count as one: hundreds of services that wait at once are few kinds. */
+    private fun merged(wants: List<Shopper.Want>): List<Shopper.Want> =
+        wants
+            .groupBy { want ->
+                val spec = want.spec
+                if (spec.oneZone || spec.isGang || want.perZone.isNotEmpty()) spec.id else listOf(spec.jobClass, spec.demand, spec.types, spec.zone, spec.spot, spec.spread, want.ordinary)
+            }.values
+            .map { same ->
+                val count = same.sumOf { it.count }
+                if (same.size == 1) same.first() else same.first().copy(spec = same.first().spec.copy(tasks = count), count = count)
+            }
+
     /** Seconds within which the settings expect jobs of a class to be finished, at the tightest. */
     private val expectation: Map<String?, Double> =
         kernel.settings.objectives
@@ -190,13 +205,13 @@
         val machine =
             unused
                 .filter { it in replica.machines && kernel.now - (idleSince[it] ?: kernel.now) >= operators.idleUs }
-                .take(2)
-        machine.forEach { capacity.retire(it, Retiring.DRAIN, "idle") }
+                .let { it.take(maxOf(2, it.size / RETURN_PART)) }
+        machine.forEach { roster.retire(it, Retiring.DRAIN, "idle") }
     }
 
     private fun watchHealth() {
         for (known in replica.machines.values) {
-            if (fleet.errorsOn(known.id) >= MAX_ERRORS) capacity.retire(known.id, Retiring.DRAIN, "errors")
+            if (fleet.errorsOn(known.id) >= MAX_ERRORS) roster.retire(known.id, Retiring.DRAIN, "errors")
         }
     }
 
@@ -205,8 +220,9 @@
         private const val LOG_EVERY: Micros = 20 * SECOND
         private const val TICK: Micros = SECOND / 2
         private const val SETTLE: Micros = SECOND
-        private const val MAX_NEW = 30
-        private const val MAX_WANTS = 100
+        private const val MAX_NEW = 240
+        private const val MAX_WANTS = 200
+        private const val RETURN_PART = 4
         private const val MAX_ERRORS = 3
         private const val DEFAULT_EXPECTATION_S = 60.0
         private const val LATE_BOOT = 1.6
--- a/src/main/kotlin/mintpick/net/Calls.kt
+++ b/src/main/kotlin/mintpick/net/Calls.kt
@@ -15,8 +15,10 @@
         override val address: String,
     ) : Target
 
+    /** A [suspect] has not answered lately: it must not hold up calls to the others. */
     data class Worker(
         override val address: String,
+        val suspect: Boolean = false,
     ) : Target
 
     data class Peer(
--- a/src/main/kotlin/mintpick/net/HttpCaller.kt
+++ b/src/main/kotlin/mintpick/net/HttpCaller.kt
@@ -23,6 +23,7 @@
     private val urgent = pool("lease", 1)
     private val cloud = pool("cloud", CLOUD_THREADS)
     private val workers = pool("worker", WORKER_THREADS)
+    private val suspects = pool("suspect", SUSPECT_THREADS)
     private val peers = pool("peer", PEER_THREADS)
 
     fun start(
@@ -33,7 +34,7 @@
             when (val target = call.target) {
                 is Target.State -> if (target.urgent) urgent else state
                 is Target.Cloud -> cloud
-                is Target.Worker -> workers
+                is Target.Worker -> if (target.suspect) suspects else workers
                 is Target.Peer -> peers
             }
         try {
@@ -90,8 +91,9 @@
         private const val STATE_THREADS = 6
         private const val CLOUD_THREADS = 3
         private const val WORKER_THREADS = 8
+        private const val SUSPECT_THREADS = 4
         private const val PEER_THREADS = 2
-        private const val QUEUE = 64
+        private const val QUEUE = 256
         private const val STACK_BYTES = 256L * 1024
         private const val CONNECT_TIMEOUT_MS = 1000
         private const val FIRST_ERROR = 400
--- a/src/main/kotlin/mintpick/store/Keys.kt
+++ b/src/main/kotlin/mintpick/store/Keys.kt
@@ -13,6 +13,8 @@
     private const val NODE = ROOT + "n/"
     private const val TEAM = ROOT + "t/"
     private const val USAGE = ROOT + "u/"
+    private const val FLEET = ROOT + "f/"
+    private const val EPOCH = ROOT + "v/"
 
     fun job(id: String) = JOB + id
 
@@ -25,6 +27,11 @@
 
     fun borrow(machine: String) = BORROW + machine
 
+    fun fleet(part: Int) = FLEET + part
+
+    /** Rises with every borrowing from a shard, so that its owner's guards notice any of them. */
+    fun epoch(shard: Int) = EPOCH + shard
+
     fun machine(machine: String) = MACHINE + machine
 
     fun node(node: String) = NODE + node
@@ -52,10 +59,17 @@
             val machine: String,
         ) : Subject
 
+        /** A machine's own record, as earlier versions wrote it. */
         data class Machine(
             val machine: String,
         ) : Subject
 
+        data class Fleet(
+            val part: Int,
+        ) : Subject
+
+        data object Epoch : Subject
+
         data class Node(
             val node: String,
         ) : Subject
@@ -80,6 +94,8 @@
             key.startsWith(JOB) -> Subject.Job(key.substring(JOB.length))
             key.startsWith(CHUNK) -> chunkOf(key.substring(CHUNK.length))
             key.startsWith(SHARD) -> key.substring(SHARD.length).toIntOrNull()?.let { Subject.Shard(it) }
+            key.startsWith(FLEET) -> key.substring(FLEET.length).toIntOrNull()?.let { Subject.Fleet(it) }
+            key.startsWith(EPOCH) -> Subject.Epoch
             key.startsWith(BORROW) -> Subject.Borrow(key.substring(BORROW.length))
             key.startsWith(MACHINE) -> Subject.Machine(key.substring(MACHINE.length))
             key.startsWith(NODE) -> Subject.Node(key.substring(NODE.length))
--- a/src/main/kotlin/mintpick/store/RecordCodec.kt
+++ b/src/main/kotlin/mintpick/store/RecordCodec.kt
@@ -7,7 +7,11 @@
 import mintpick.core.MachineId
 import mintpick.core.Placement
 import mintpick.wire.ChunkRecord
+import mintpick.wire.FleetGroup
+import mintpick.wire.FleetRecord
 import mintpick.wire.JobRecord
+import mintpick.wire.MachineRecord
+import mintpick.wire.Retiring
 import mintpick.wire.StoredStage
 import mintpick.wire.WireJson
 import java.util.BitSet
@@ -70,6 +74,26 @@
         return Job(id, spec, record.stage, record.submittedUs, version, others + (0 to first))
     }
 
+    fun fleetJson(machines: Map<MachineId, MachineRecord>): JsonElement {
+        val groups =
+            machines.entries.groupBy { Triple(it.value.type, it.value.zone, it.value.spot) }.map { (kind, members) ->
+                FleetGroup(kind.first, kind.second, kind.third, members.associate { it.key.text to it.value.address })
+            }
+        val retiring = machines.filterValues { it.retiring != Retiring.NO }.entries.associate { it.key.text to it.value.retiring }
+        return WireJson.encodeToJsonElement(FleetRecord.serializer(), FleetRecord(groups, retiring))
+    }
+
+    fun decodeFleet(value: JsonElement): Map<MachineId, MachineRecord> {
+        val record = WireJson.decodeFromJsonElement(FleetRecord.serializer(), value)
+        val machines = HashMap<MachineId, MachineRecord>()
+        for (group in record.groups) {
+            for ((id, address) in group.machines) {
+                machines[MachineId(id)] = MachineRecord(group.type, group.zone, group.spot, address, record.retiring[id] ?: Retiring.NO)
+            }
+        }
+        return machines
+    }
+
     private fun encode(record: JobRecord) = WireJson.encodeToJsonElement(JobRecord.serializer(), record)
 
     private inline fun pairs(
--- a/src/main/kotlin/mintpick/wire/MeshApi.kt
+++ b/src/main/kotlin/mintpick/wire/MeshApi.kt
@@ -14,6 +14,10 @@
     @ProtoNumber(2) val stateAgeUs: Long = -1,
     @ProtoNumber(3) val machines: List<MachineHint> = emptyList(),
     @ProtoNumber(4) val revision: Long = 0,
+    /** Whether [machines] is the whole list; between lists only the sender's standing is told. */
+    @ProtoNumber(5) val listsMachines: Boolean = false,
+    /** Whether jobs wait that found no room on the sender's machines. */
+    @ProtoNumber(6) val lacksRoom: Boolean = false,
 )
 
 @Serializable
--- a/src/main/kotlin/mintpick/wire/Records.kt
+++ b/src/main/kotlin/mintpick/wire/Records.kt
@@ -37,6 +37,25 @@
     val chunk: ChunkRecord? = null,
 )
 
+/**
+ * The machines of one part of the cluster that have reported: one record for all of them, since a change of a third of
+ * a fleet must not cost a write for each machine. [retiring] names those that are to be given up.
+ */
+@Serializable
+data class FleetRecord(
+    @SerialName("g") val groups: List<FleetGroup> = emptyList(),
+    @SerialName("r") val retiring: Map<String, Retiring> = emptyMap(),
+)
+
+/** Machines of one kind with their addresses. */
+@Serializable
+data class FleetGroup(
+    @SerialName("t") val type: String,
+    @SerialName("z") val zone: String,
+    @SerialName("s") val spot: Boolean,
+    @SerialName("m") val machines: Map<String, String>,
+)
+
 /** Claim of a shard, or of a borrowed machine. */
 @Serializable
 data class ClaimRecord(
@@ -51,7 +70,7 @@
     val since: Long,
 )
 
-/** A machine that has reported; [retiring] once it is to be released. */
+/** A machine that has reported; [retiring] once it is to be released. Earlier versions stored it as a record of its own. */
 @Serializable
 data class MachineRecord(
     val type: String,
--- a/src/main/kotlin/mintpick/workers/WorkerProtocol.kt
+++ b/src/main/kotlin/mintpick/workers/WorkerProtocol.kt
@@ -36,16 +36,20 @@
     fun commands(
         address: String,
         batch: CommandBatch,
+        suspect: Boolean = false,
     ): Call =
         Call(
-            Target.Worker(address),
+            Target.Worker(address, suspect),
             "POST",
             Paths.COMMANDS,
             WireJson.encodeToString(CommandBatch.serializer(), batch).encodeToByteArray(),
             TIMEOUT,
         )
 
-    fun inspect(address: String): Call = Call(Target.Worker(address), "GET", Paths.INSPECT, timeoutUs = PROBE_TIMEOUT)
+    fun inspect(
+        address: String,
+        suspect: Boolean = false,
+    ): Call = Call(Target.Worker(address, suspect), "GET", Paths.INSPECT, timeoutUs = PROBE_TIMEOUT)
 
     fun read(outcome: Outcome): Result =
         when (outcome) {
--- a/src/test/kotlin/mintpick/core/PlacerTest.kt
+++ b/src/test/kotlin/mintpick/core/PlacerTest.kt
@@ -20,7 +20,6 @@
                 total,
                 { false },
                 true,
-                1.0,
             )
         }
 
@@ -37,7 +36,7 @@
                     oneZone = round % 3 == 1,
                     zone = if (round % 5 == 4) "north" else null,
                 )
-            val placed = Placer(SplittableRandom(1), 8).place(spec, (0 until spec.tasks).asSequence(), Placer.Rooms(rooms), emptyMap(), 100)
+            val placed = Placer(SplittableRandom(1), 8).place(spec, (0 until spec.tasks).asSequence(), Placer.Rooms.of(rooms), emptyMap(), 100)
             val byId = rooms.associateBy { it.machine }
             placed.groupBy { it.second }.forEach { (machine, tasks) ->
                 assertTrue((spec.demand * tasks.size.toDouble()).fits(byId.getValue(machine).free))
@@ -73,7 +72,7 @@
         val types =
             listOf(mintpick.wire.MachineType("small", 8.0, 0.0, 32.0, price = 1.0, spotPrice = 0.2, zones = listOf("north"))).associateBy { it.name }
         val total = Resources(8.0, 0.0, 32.0)
-        val full = Room(MachineId("m"), "small", "north", false, Resources.ZERO, total, { false }, true, 1.0, yielding = total)
+        val full = Room(MachineId("m"), "small", "north", false, Resources.ZERO, total, { false }, true, yielding = total)
         val shopper = Shopper(types, listOf("north")) { true }
         val service = Shopper.Want(Samples.spec(kind = mintpick.wire.JobKind.SERVICE, spot = false, cpus = 1.0), 3)
         assertEquals(emptyMap<Offer, Int>(), shopper.plan(listOf(full), listOf(service), 5).rent)
