--- a/src/main/kotlin/mintpick/engine/Capacity.kt
+++ b/src/main/kotlin/mintpick/engine/Capacity.kt
@@ -34,8 +34,10 @@
     )
 
     private val protocol = CloudProtocol(kernel.settings.cloud.toString())
-    /** The leader alone rents and returns, which goes before lists: it may use more than its part. */
-    private val requests = Bucket(kernel.settings.cloudRps * SHARE / (kernel.settings.peers.size + 1), kernel.settings.cloudRps * SHARE)
+    /** The leader alone rents and returns; lists, which every controller needs, have a part of the limit of their own. */
+    private val requests = Bucket(kernel.settings.cloudRps * RENT_PART, maxOf(1.0, kernel.settings.cloudRps * RENT_PART * 2))
+    private val lists =
+        (kernel.settings.cloudRps * LIST_PART / (kernel.settings.peers.size + 1)).let { Bucket(it, maxOf(1.0, it * 2)) }
     private val firstKnown = HashMap<MachineId, Micros>()
     val booting = LinkedHashMap<MachineId, Booting>()
     private val refusedUntil = HashMap<Offer, Micros>()
@@ -83,7 +85,7 @@
 
     private fun fetchTypes() {
         if (replica.types.isNotEmpty() && !ownership.isLeader) return
-        if (!requests.take(kernel.now, 1.0)) return
+        if (!lists.take(kernel.now, 1.0)) return
         nextTypesUs = kernel.now + RETRY
         kernel.call(protocol.types()) { outcome ->
             val result = protocol.readTypes(outcome)
@@ -97,7 +99,7 @@
     }
 
     private fun list() {
-        if (!requests.take(kernel.now, 1.0)) return
+        if (!lists.take(kernel.now, 1.0)) return
         listing = true
         page(null, ArrayList(), kernel.now)
     }
@@ -112,6 +114,7 @@
             if (result is CloudProtocol.Result.Ok) {
                 before += result.value.machines
                 if (result.value.more && result.value.machines.isNotEmpty()) {
+                    lists.force(kernel.now, 1.0)
                     page(result.value.machines.last().id, before, startedUs)
                 } else {
                     listed(before, startedUs)
@@ -159,18 +162,22 @@
 
     private val failed = HashSet<MachineId>()
 
+    /** Asks for machines, in as many requests as it takes and the limit allows now. */
     fun rent(
         offer: Offer,
         count: Int,
         reason: String,
     ) {
-        if (count <= 0 || !requests.take(kernel.now, 1.0)) return
-        // Names of requests are never used again: not by us, nor by another process with our name.
-        val name = "${kernel.me.text}-$incarnation-${++rentals}"
-        val request = RentalRequest(name, offer.type, offer.zone, offer.spot, minOf(count, CloudProtocol.MAX_RENT))
-        LOG.info("rent request={} type={} zone={} spot={} count={} reason={}", name, offer.type, offer.zone, offer.spot, count, reason)
-        pendingRentals[name] = request
-        send(request)
+        var left = count
+        while (left > 0 && requests.take(kernel.now, 1.0)) {
+            // Names of requests are never used again: not by us, nor by another process with our name.
+            val name = "${kernel.me.text}-$incarnation-${++rentals}"
+            val request = RentalRequest(name, offer.type, offer.zone, offer.spot, minOf(left, CloudProtocol.MAX_RENT))
+            LOG.info("rent request={} type={} zone={} spot={} count={} reason={}", name, offer.type, offer.zone, offer.spot, request.count, reason)
+            left -= request.count
+            pendingRentals[name] = request
+            send(request)
+        }
     }
 
     private fun send(request: RentalRequest) {
@@ -240,7 +247,8 @@
 
     companion object {
         private val LOG = LoggerFactory.getLogger(Capacity::class.java)
-        private const val SHARE = 0.8
+        private const val RENT_PART = 0.45
+        private const val LIST_PART = 0.45
         private const val RADIX = 36
         private const val LAGS = 3
         private const val LAG_MARGIN: Micros = 2 * SECOND
--- a/src/main/kotlin/mintpick/engine/Observer.kt
+++ b/src/main/kotlin/mintpick/engine/Observer.kt
@@ -218,6 +218,6 @@
         private const val SWEEP: Micros = SECOND
 
         /** How long finished tasks may wait to be written together. */
-        private const val LAZY: Micros = 3_000 * MILLI
+        private const val LAZY: Micros = 6_000 * MILLI
     }
 }
--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -46,12 +46,14 @@
         val toBorrow = LinkedHashSet<MachineId>()
         var writes = 0
         var hurried = false
+        var parts = false
+        var partsPlaced = false
     }
 
     private val placer = Placer(kernel.random, operators.placementSample)
     private val limits = kernel.settings.teams.associateBy { it.name }
     private val still = HashMap<JobId, Still>()
-    private val lastPart = HashMap<JobId, Micros>()
+    private var nextPartsUs: Micros = 0
     private var nextPassUs: Micros = 0
     private val replica get() = kernel.replica
 
@@ -105,7 +107,6 @@
         replica.waitingJobs().forEach { waiting[it.id] = it }
         drafts.values.forEach { if (it.job.waiting > 0) waiting[it.job.id] = it.job else waiting.remove(it.job.id) }
         still.keys.retainAll(waiting.keys)
-        lastPart.keys.retainAll(waiting.keys)
         if (waiting.isEmpty()) {
             starved = emptyList()
             lacksRoom = false
@@ -114,6 +115,7 @@
         val wide = Placer.Rooms.of(rooms(changes))
         val pass = Pass(changes, draftOf, wide.part { it.own }, wide)
         pass.hurried = waiting.size > HURRY
+        pass.parts = kernel.now >= nextPartsUs
         val left = ArrayList<Job>()
         val budget = changes.budget()
         var short = false
@@ -137,6 +139,7 @@
                 }
             }
         }
+        if (pass.partsPlaced) nextPartsUs = kernel.now + PART_EVERY
         lacksRoom = short
         starved = left
         if (pass.toBorrow.isNotEmpty()) ownership.borrow(pass.toBorrow, fleet::push)
@@ -207,13 +210,13 @@
         if (!mayWrite) return 0
         val now = found.filter { (_, machine) -> rooms[machine]?.let { it.own && it.ready } == true }
         if (now.isEmpty() || (job.spec.isGang && now.size < found.size)) return 0
-        // A part of a job is placed now and then, not for each task that ends or machine that comes up: the room is
-        // held for it meanwhile.
+        // Parts of jobs are placed now and then, not for each task that ends or machine that comes up, since each costs
+        // a write: the room is held for them meanwhile.
         val isPart = now.size < job.waiting
-        if (isPart && kernel.now - (lastPart[job.id] ?: -PART_EVERY) < PART_EVERY) return 0
+        if (isPart && !pass.parts) return 0
         val draft = pass.draftOf(job.id) ?: return 0
         if (draft.job.stage != StoredStage.OPEN) return 0
-        if (isPart) lastPart[job.id] = kernel.now
+        if (isPart) pass.partsPlaced = true
         val machines = LinkedHashSet<MachineId>()
         var count = 0
         for ((task, machine) in now) {
--- a/src/main/kotlin/mintpick/engine/Supply.kt
+++ b/src/main/kotlin/mintpick/engine/Supply.kt
@@ -60,7 +60,8 @@
         val shopper = Shopper(replica.types, kernel.settings.zones, capacity::available)
         val rooms = rooms()
         val plan = shopper.plan(rooms, (waiting(rooms) + expected()).sortedBy { !it.spec.isService }, MAX_NEW)
-        plan.rent.forEach { (offer, count) -> capacity.rent(offer, count, "demand") }
+        // The most needed first: requests are few.
+        plan.rent.entries.sortedByDescending { it.value }.forEach { (offer, count) -> capacity.rent(offer, count, "demand") }
         if (plan.rent.isEmpty()) returnIdle(plan.unused)
     }
 
--- a/src/test/kotlin/mintpick/sim/Rules.kt
+++ b/src/test/kotlin/mintpick/sim/Rules.kt
@@ -17,6 +17,12 @@
     private val told = HashMap<String, JobStage>()
     private val cancelAsked = HashSet<String>()
     private val cancelTold = HashMap<String, Micros>()
+    private val silentSince = HashMap<String, Micros>()
+    private val submittedAt = HashMap<String, Micros>()
+    private val startedAt = HashMap<String, Micros>()
+
+    /** When the last trouble was over: from then on every job that is asked about must be answered for. */
+    var calmSinceUs: Micros = Long.MAX_VALUE
     var starts = 0
         private set
 
@@ -26,8 +32,40 @@
         val spot: Boolean,
     )
 
-    fun submitted(spec: JobSpec) {
+    fun submitted(
+        spec: JobSpec,
+        now: Micros = 0,
+    ) {
         specs[spec.id] = spec
+        submittedAt[spec.id] = now
+    }
+
+    /** A user asks about an accepted job: unanswered questions add up job by job, however others fare. */
+    fun asked(
+        job: String,
+        now: Micros,
+    ) {
+        silentSince.putIfAbsent(job, now)
+    }
+
+    fun answered(job: String) {
+        silentSince.remove(job)
+    }
+
+    /** At least half of each group is served, and its largest jobs begin within four minutes, as users count it. */
+    fun checkServed(now: Micros) {
+        val counted = specs.values.filter { it.id in accepted && it.id !in cancelAsked }
+        val largest = counted.groupBy { it.jobClass }.mapValues { (_, jobs) -> jobs.maxOf { it.tasks } }
+        val groups =
+            counted.groupBy { "class ${it.jobClass}" } + counted.groupBy { "team ${it.team}" } +
+                counted.filter { it.tasks == largest[it.jobClass] }.groupBy { "largest of ${it.jobClass}" }
+        for ((name, jobs) in groups) {
+            if (jobs.count { it.id in startedAt } * 2 < jobs.size) breaches += "unserved: $name"
+        }
+        for (job in counted.filter { it.tasks == largest[it.jobClass] }) {
+            val began = startedAt[job.id] ?: now
+            if (began - (submittedAt[job.id] ?: 0) > LARGEST_BEGIN) breaches += "unserved: ${job.id} began at $began"
+        }
     }
 
     fun isSubmitted(job: String): Boolean = job in specs
@@ -40,6 +78,7 @@
         starts++
         val job = task.substringBeforeLast('/')
         val spec = specs[job]
+        startedAt.putIfAbsent(job, now)
         on[task]?.let { breaches += "ran_twice: $task on ${place.machine} while on ${it.machine} at $now" }
         on[task] = place
         if (spec == null) {
@@ -103,6 +142,11 @@
     }
 
     fun tick(now: Micros) {
+        if (now - calmSinceUs > UNANSWERED) {
+            for ((job, since) in silentSince) {
+                if (job in accepted && now - maxOf(since, calmSinceUs) > UNANSWERED) breaches += "forgotten: $job unanswered at $now"
+            }
+        }
         for (task in on.keys) {
             val since = cancelTold[task.substringBeforeLast('/')] ?: continue
             if (now - since > cancelUs) breaches += "ran_cancelled: $task still on a machine at $now"
@@ -111,5 +155,15 @@
 
     fun isFinal(job: String): Boolean = told[job] == JobStage.DONE || told[job] == JobStage.CANCELLED
 
+    fun startOf(job: String): Micros? = startedAt[job]
+
+    /** Tasks on [machine] now. */
+    fun attemptsOn(machine: String): Set<String> = on.filterValues { it.machine == machine }.keys
+
     fun isAccepted(job: String): Boolean = job in accepted
+
+    private companion object {
+        const val UNANSWERED: Micros = 75_000_000
+        const val LARGEST_BEGIN: Micros = 240_000_000
+    }
 }
--- a/src/test/kotlin/mintpick/sim/SimState.kt
+++ b/src/test/kotlin/mintpick/sim/SimState.kt
@@ -93,6 +93,9 @@
         )
     }
 
+    /** Keys with their values as text. */
+    fun keys(): List<Pair<String, String>> = items.map { it.key to it.value.value.toString() }
+
     private fun page(query: Map<String, String>): Http {
         val after = query["since"].orEmpty()
         val limit = query["limit"]?.toInt() ?: 1000
--- a/src/test/kotlin/mintpick/sim/SimWorker.kt
+++ b/src/test/kotlin/mintpick/sim/SimWorker.kt
@@ -53,6 +53,9 @@
     private val tasks = LinkedHashMap<String, Task>()
     var hangingUntilUs: Micros = 0
     var changed = true
+
+    /** Its reports leave, but answers and commands do not arrive. */
+    var deaf = false
     var noticeUs: Micros? = null
 
     /** Results are kept: a completed task that is started again is done as soon as it has its image. */
--- a/src/test/kotlin/mintpick/sim/World.kt
+++ b/src/test/kotlin/mintpick/sim/World.kt
@@ -40,12 +40,21 @@
     val lost: Int = 0,
     val lostAnswer: Int = 0,
     val late: Int = 0,
+    /** Reports of which another copy comes seconds to over a lease later, to whichever controller. */
+    val copied: Int = 0,
+)
+
+/** How large the world may grow. */
+data class Size(
+    val machines: Int = 14,
+    val listed: Int = 30,
 )
 
 /** Three engines, a state service, a cloud, workers and users in one virtual time, with troubles at will. */
 class World(
     seed: Long,
     private val luck: Luck,
+    private val size: Size = Size(),
     private val settingsOf: (Int) -> Settings,
 ) : TaskWatcher {
     private class Timer(
@@ -63,6 +72,13 @@
         private var life = 0
         var cutFromState = false
         var cutFromWorkers = false
+        var cutFromPeers = false
+
+        /** Calls made and events taken, over all its lives. */
+        var calls = 0L
+            private set
+        var events = 0L
+            private set
 
         fun start() {
             engine = Engine(settings, Operators(), random.split())
@@ -93,11 +109,15 @@
             val engine = engine ?: return
             val batch = inbox.toList()
             inbox.clear()
+            events += batch.size
             val mine = life
             for (effect in engine.step(now + index * SECOND, WALL + now, batch)) {
                 when (effect) {
                     is Effect.Send -> effect.reply.answer(effect.answer)
-                    is Effect.Start -> perform(this, effect.call) { if (life == mine) deliver(Event.CallDone(effect.id, it)) }
+                    is Effect.Start -> {
+                        calls++
+                        perform(this, effect.call) { if (life == mine) deliver(Event.CallDone(effect.id, it)) }
+                    }
                 }
             }
         }
@@ -157,7 +177,7 @@
         rules.tick(now)
         if (now % SECOND < TICK) {
             lists.addLast(now to listing())
-            while (lists.size > 30) lists.removeFirst()
+            while (lists.size > size.listed) lists.removeFirst()
         }
         after(TICK) { worldLoop() }
     }
@@ -181,7 +201,7 @@
         after(call.timeoutUs) { end(Outcome.Unanswered) }
         val cut =
             (zonesCut && crossesZones(from, call.target)) ||
-                (from.cutFromState && call.target is Target.State) || (from.cutFromWorkers && call.target is Target.Worker) || hit(luck.lost)
+                (from.cutFromState && call.target is Target.State) || (call.target is Target.Peer && peersCut(from, call.target)) || (from.cutFromWorkers && call.target is Target.Worker) || hit(luck.lost)
         if (cut) return
         // A packet that is held back arrives long after the sender has given up.
         val travel = if (hit(luck.late)) 2 * SECOND + random.nextLong(20 * SECOND) else delay()
@@ -191,6 +211,11 @@
         after(travel) { arrive(call, reply) { end(Outcome.NotSent) } }
     }
 
+    private fun peersCut(
+        from: Node,
+        to: Target,
+    ): Boolean = from.cutFromPeers || nodes.first { it.settings.mesh.toString() == to.address }.cutFromPeers
+
     private fun crossesZones(
         from: Node,
         target: Target,
@@ -226,7 +251,7 @@
         worker: SimWorker,
         reply: (Int, ByteArray) -> Unit,
     ) {
-        if (now < worker.hangingUntilUs) return
+        if (now < worker.hangingUntilUs || worker.deaf) return
         reply(200, WireJson.encodeToString(MachineReport.serializer(), worker.report(now)).encodeToByteArray())
     }
 
@@ -235,7 +260,7 @@
         batch: CommandBatch,
         reply: (Int, ByteArray) -> Unit,
     ) {
-        if (workers[worker.id] !== worker) return
+        if (workers[worker.id] !== worker || worker.deaf) return
         // A hanging machine executes what it was sent when it carries on.
         if (now < worker.hangingUntilUs) return after(worker.hangingUntilUs - now + MILLI) { command(worker, batch, reply) }
         worker.tick(now)
@@ -260,8 +285,9 @@
                 call.method == "POST" -> WireJson.encodeToString(MachineNames.serializer(), MachineNames(rent(body)))
                 else -> {
                     val lag = nodes[0].settings.listLagUs * (1 + random.nextInt(2))
-                    val list = lists.lastOrNull { it.first <= now - lag }?.second.orEmpty()
-                    WireJson.encodeToString(MachineListPage.serializer(), MachineListPage(list))
+                    val after = call.path.substringAfter("since=", "").substringBefore('&')
+                    val list = lists.lastOrNull { it.first <= now - lag }?.second.orEmpty().filter { it.id > after }
+                    WireJson.encodeToString(MachineListPage.serializer(), MachineListPage(list.take(PAGE), list.size > PAGE))
                 }
             }
         reply(200, text.encodeToByteArray())
@@ -270,7 +296,7 @@
     private fun rent(body: String): List<String> {
         val request = WireJson.decodeFromString(RentalRequest.serializer(), body)
         return hires.getOrPut(request.request) {
-            List(minOf(request.count, MAX_MACHINES - workers.size - booting.size).coerceAtLeast(0)) {
+            List(minOf(request.count, size.machines - workers.size - booting.size).coerceAtLeast(0)) {
                 val id = "host-%06d".format(++machines)
                 booting[id] = request
                 born[id] = now
@@ -283,7 +309,7 @@
     private fun boot(id: String) {
         val request = booting.remove(id) ?: return
         val worker =
-            SimWorker(id, "10.1.0.${id.takeLast(3).toInt()}:9000", request.type, request.zone, request.spot, nodes[0].settings.leaseUs, this, now)
+            SimWorker(id, "10.1.${id.takeLast(4).toInt() / 250}.${id.takeLast(4).toInt() % 250}:9000", request.type, request.zone, request.spot, nodes[0].settings.leaseUs, this, now)
         workers[id] = worker
         reportLoop(worker, random.nextInt(NODES), 0)
     }
@@ -319,6 +345,7 @@
         val node = nodes[target]
         val message = worker.report(now)
         val sent = now
+        if (hit(luck.copied)) after(2 * SECOND + random.nextLong(58 * SECOND)) { replay(message, nodes[random.nextInt(NODES)]) }
         var open = true
         val next: (Int, Micros) -> Unit = { to, pause ->
             if (open) {
@@ -335,7 +362,7 @@
                     Event.Report(
                         message,
                         ReplyTo { answer ->
-                            if (!hit(luck.lostAnswer)) {
+                            if (!hit(luck.lostAnswer) && !worker.deaf) {
                                 after(delay()) {
                                     if (open && workers[worker.id] === worker && now >= worker.hangingUntilUs) {
                                         open = false
@@ -350,6 +377,14 @@
         }
     }
 
+    /** A copy of an old report arrives; nobody reads the answer. */
+    fun replay(
+        message: MachineReport,
+        node: Node,
+    ) {
+        node.deliver(Event.Report(message, ReplyTo { }))
+    }
+
     private fun take(
         worker: SimWorker,
         target: Int,
@@ -383,7 +418,7 @@
         cancelAfterUs: Micros?,
     ) {
         specs[spec.id] = spec
-        rules.submitted(spec)
+        rules.submitted(spec, now)
         submit(spec)
         if (cancelAfterUs != null) after(cancelAfterUs) { cancel(spec.id) }
     }
@@ -409,7 +444,9 @@
         }
 
     private fun poll(id: String) {
+        rules.asked(id, now)
         ask({ Event.Poll(JobId(id), it) }) { answer ->
+            if (answer?.status == 200) rules.answered(id)
             when (answer?.status) {
                 200 -> rules.told(id, WireJson.decodeFromString(JobStatus.serializer(), answer.body.decodeToString()).stage, now)
                 404 -> rules.told(id, null, now)
@@ -476,10 +513,10 @@
 
     companion object {
         const val NODES = 3
+        private const val PAGE = 500
         private const val STEP: Micros = 20 * MILLI
         private const val TICK: Micros = 100 * MILLI
         private const val WALL: Micros = 1_700_000_000 * SECOND
-        private const val MAX_MACHINES = 14
         val TYPES =
             listOf(
                 MachineType("small", 8.0, 0.0, 32.0, 30.0, 0.5, 0.4, 0.1, 5.0, listOf("north", "south")),
