--- a/src/main/kotlin/mintpick/engine/Caretaker.kt
+++ b/src/main/kotlin/mintpick/engine/Caretaker.kt
@@ -42,7 +42,11 @@
         val serving = mine.filterTo(HashSet(), ::servesUsers)
         // Asking hundreds of machines every second would cost more than what it finds out.
         val heartbeat = maxOf(HEARTBEAT, serving.size * SECOND / HEARTBEATS)
-        mine.filter { silenceOf(it) > if (it in serving) heartbeat else patience }.forEach { fleet.probe(it.id) }
+        val due = mine.filter { silenceOf(it) > if (it in serving) heartbeat else patience }
+        // Beyond a cut a few are enough to see when it ends.
+        val (open, beyond) = due.partition { standing.heardFromZone(zoneOf(it), kernel.now - ZONE_SILENCE) }
+        val drawn = if (beyond.isEmpty()) emptyList() else List(BEYOND) { beyond[kernel.random.nextInt(beyond.size)] }
+        (open + drawn).forEach { fleet.probe(it.id) }
         val silent = mine.filter { isSilent(it, it in serving) || isOneWay(it) }
         if (silent.isEmpty()) return
         val suspects = mine.count { fleet.isUnreachable(it.id) }
@@ -50,7 +54,9 @@
         for (view in silent) {
             val oneWay = isOneWay(view)
             val since = if (oneWay) fleet.unreachableSince(view.id) ?: continue else fleet.silentSince(view.id)
-            val peersHeard = standing.heardAllSince(since + HINT_SPAN)
+            // Heard after the first call that failed: the way to the machine's zone was open when it did not answer.
+            val failing = fleet.unreachableSince(view.id) ?: continue
+            val peersHeard = standing.heardFromZone(zoneOf(view), failing)
             if (kernel.now - since > doubt(many, peersHeard)) roster.retire(view.id, Retiring.NOW, if (oneWay) "one-way" else "silent")
         }
     }
@@ -92,6 +98,8 @@
         return if (serving) failures >= PROBES && silenceOf(view) > HEARTBEAT * 2 else silenceOf(view) > patience + HEARTBEAT
     }
 
+    private fun zoneOf(view: MachineView): String? = replica.machines[view.id]?.record?.zone
+
     private fun servesUsers(view: MachineView): Boolean =
         replica.tasksOn(view.id).keys.any { replica.job(it.job)?.spec?.isService == true }
 
@@ -133,7 +141,8 @@
 
         /** A worker gives up a report after 4 s, and its next controller answers a second later. */
         private const val TURN_AWAY: Micros = 6 * SECOND
-        private const val HINT_SPAN: Micros = 1_200 * MILLI
+        private const val ZONE_SILENCE: Micros = 3 * SECOND
+        private const val BEYOND = 2
         private const val SILENCE: Micros = 2 * SECOND
         private const val SETTLE: Micros = 6 * SECOND
         private const val BORROW_LEAST: Micros = 20 * SECOND
--- a/src/main/kotlin/mintpick/engine/Fleet.kt
+++ b/src/main/kotlin/mintpick/engine/Fleet.kt
@@ -142,15 +142,16 @@
         reply: ReplyTo,
     ) {
         val id = view.id
-        val shard = ownership.shard(id) ?: return kernel.send(reply, misdirected(null))
+        val shard = ownership.shard(id)
+        val from = ownership.control(id)?.node
+        if (shard == null || from == null) return kernel.send(reply, misdirected(null))
         val peers = unservedIn.getOrPut(shard) { HashMap() }
         peers[id] = kernel.now
         peers.values.removeIf { kernel.now - it > UNSERVED_MEMORY }
         inspect(view) { ok ->
-            val claim = ownership.control(id)
-            val whole = peers.size >= WHOLE_SHARD || (claim != null && !standing.hears(claim.node))
+            val whole = peers.size >= WHOLE_SHARD || !standing.hears(from)
             if (ok) {
-                ownership.adopt(id, whole, "unserved") { kernel.send(reply, answer(id, view, report, view.latest === report, true)) }
+                ownership.adopt(id, whole, from, "unserved") { kernel.send(reply, answer(id, view, report, view.latest === report, true)) }
             } else {
                 kernel.send(reply, answer(id, view, report, fresh = false, awaited = true))
             }
--- a/src/main/kotlin/mintpick/engine/Ownership.kt
+++ b/src/main/kotlin/mintpick/engine/Ownership.kt
@@ -161,11 +161,11 @@
 
     /** Takes old claims back to where they belong, so that each controller has its part in every zone. */
     private fun rebalance() {
-        val live = live()
-        if (live.size < 2 || kernel.now - link.servingSinceUs < SETTLE || !calm()) return
+        // Only while all are in touch, so what each is to hold does not change with those that come and go.
+        if (kernel.now - link.servingSinceUs < SETTLE || !calm()) return
         val wrong =
             replica.claims.filter { (shard, claim) ->
-                claim.node != kernel.me && holder(shard, live) == kernel.me && kernel.now - (seen[shard]?.sinceUs ?: kernel.now) > KEEP
+                claim.node != kernel.me && holder(shard, everybody) == kernel.me && kernel.now - (seen[shard]?.sinceUs ?: kernel.now) > KEEP
             }
         if (wrong.isNotEmpty()) claim(wrong.map { (shard, claim) -> Keys.shard(shard) to claim.version }, "rebalanced")
     }
@@ -177,12 +177,14 @@
     fun adopt(
         machine: MachineId,
         whole: Boolean,
+        from: NodeId,
         reason: String,
         then: () -> Unit,
     ) {
         val claim = control(machine)
         val shard = shard(machine)
-        if (claim == null || shard == null || isMine(claim)) return then()
+        // Somebody else may have taken it over while we asked the machine.
+        if (claim == null || shard == null || claim.node != from) return then()
         if (!whole || machine in replica.borrows) {
             val targets = listOf(Keys.borrow(machine.text) to (replica.borrows[machine]?.version ?: 0))
             return claim(targets, reason, setOf(shard)) { then() }
--- a/src/main/kotlin/mintpick/engine/Standing.kt
+++ b/src/main/kotlin/mintpick/engine/Standing.kt
@@ -56,11 +56,27 @@
     /** Whether [node] has spoken to us lately. */
     fun hears(node: NodeId): Boolean = peers[node]?.let { kernel.now - it.atUs < FRESH } ?: false
 
+    /** Whether every other controller has spoken to us after [since]. */
+    fun heardAllSince(since: Micros): Boolean = kernel.settings.peers.all { heardSince(it.node, since) }
+
+    private fun heardSince(
+        node: String,
+        since: Micros,
+    ): Boolean = (peers[NodeId(node)]?.atUs ?: 0) > since
+
     /**
-     * Whether every other controller has spoken to us after [since]. In a cut between zones a peer falls silent
-     * with the machines, so a machine's silence says little until all peers have been heard after it began.
+     * Whether a controller in [zone] has spoken to us after [since], so that the way there was open. In a cut between
+     * zones peers fall silent with the machines, and a machine's silence says little. For our own zone any other
+     * controller will do: we may be cut off ourselves.
      */
-    fun heardAllSince(since: Micros): Boolean = kernel.settings.peers.all { (peers[NodeId(it.node)]?.atUs ?: 0) > since }
+    fun heardFromZone(
+        zone: String?,
+        since: Micros,
+    ): Boolean {
+        val there = kernel.settings.peers.filter { it.zone == zone }
+        val witnesses = if (zone == kernel.settings.zone || there.isEmpty()) kernel.settings.peers else there
+        return witnesses.isEmpty() || witnesses.any { heardSince(it.node, since) }
+    }
 
     /** Whether [machine] reports to some other controller, as far as hints tell; [to] narrows it to one. */
     fun heardElsewhere(
--- a/src/main/kotlin/mintpick/net/HttpCaller.kt
+++ b/src/main/kotlin/mintpick/net/HttpCaller.kt
@@ -90,8 +90,8 @@
         private val LOG = LoggerFactory.getLogger(HttpCaller::class.java)
         private const val STATE_THREADS = 6
         private const val CLOUD_THREADS = 3
-        private const val WORKER_THREADS = 8
-        private const val SUSPECT_THREADS = 4
+        private const val WORKER_THREADS = 20
+        private const val SUSPECT_THREADS = 6
         private const val PEER_THREADS = 2
         private const val QUEUE = 256
         private const val STACK_BYTES = 256L * 1024
