--- a/src/main/kotlin/mintpick/engine/Caretaker.kt
+++ b/src/main/kotlin/mintpick/engine/Caretaker.kt
@@ -37,7 +37,7 @@
      * A machine that has fallen silent is returned, which proves it gone.
      */
     private fun giveUpSilent() {
-        val mine = fleet.views().filter { it.id in replica.machines && it.token > 0 && ownership.controls(it.id) }
+        val mine = fleet.views().filter { it.token > 0 && ownership.controls(it.id) && isMissed(it) }
         if (kernel.now - link.servingSinceUs < SETTLE) return
         val serving = mine.filterTo(HashSet(), ::servesUsers)
         // Asking hundreds of machines every second would cost more than what it finds out.
@@ -61,6 +61,12 @@
         }
     }
 
+    /** One that is on its way back to the cloud with nothing left on it is gone before its record is. */
+    private fun isMissed(view: MachineView): Boolean {
+        val record = replica.machines[view.id]?.record ?: return false
+        return record.retiring == Retiring.NO || replica.tasksOn(view.id).isNotEmpty()
+    }
+
     /**
      * Its reports come but nothing reaches it: no answer has renewed its lease and no command is carried out. Another
      * controller that does reach it would have adopted it by now, and if nobody does, nobody should wait for it.
--- a/src/main/kotlin/mintpick/engine/Supply.kt
+++ b/src/main/kotlin/mintpick/engine/Supply.kt
@@ -205,11 +205,14 @@
     private fun returnIdle(unused: Set<MachineId>) {
         val machine =
             unused
-                .filter { it in replica.machines && kernel.now - (idleSince[it] ?: kernel.now) >= operators.idleUs }
+                .filter { kernel.now - (idleSince[it] ?: kernel.now) >= patienceWith(replica.machines[it] ?: return@filter false) }
                 .let { it.take(maxOf(2, it.size / RETURN_PART)) }
         machine.forEach { roster.retire(it, Retiring.DRAIN, "idle") }
     }
 
+    /** Ordinary machines cost several times as much, and batch work seldom needs them again soon. */
+    private fun patienceWith(known: KnownMachine): Micros = if (known.record.spot) operators.idleUs else operators.idleUs / ORDINARY_PART
+
     private fun watchHealth() {
         for (known in replica.machines.values) {
             if (fleet.errorsOn(known.id) >= MAX_ERRORS) roster.retire(known.id, Retiring.DRAIN, "errors")
@@ -224,6 +227,7 @@
         private const val MAX_NEW = 240
         private const val MAX_WANTS = 200
         private const val RETURN_PART = 4
+        private const val ORDINARY_PART = 3
         private const val MAX_ERRORS = 3
         private const val DEFAULT_EXPECTATION_S = 60.0
         private const val LATE_BOOT = 1.6
--- /dev/null
+++ b/src/test/kotlin/mintpick/sim/GrowthTest.kt
@@ -0,0 +1,50 @@
+package mintpick.sim
+
+import mintpick.Samples
+import mintpick.core.SECOND
+import mintpick.wire.JobKind
+import mintpick.wire.Priority
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** What grows with the fleet and what must not, in counts: one state service's limits serve however many machines. */
+class GrowthTest {
+    @Test
+    fun `a thousand machines and hundreds of jobs stay within the state service's limits`() {
+        val world = World(51, Luck(), Size(machines = 1000)) { Samples.settings(it) }
+        val services = 120
+        val arrays = 240
+        var tasks = 0
+        (1..services).forEach { n ->
+            val size = 4 + n % 6
+            tasks += size
+            val spec =
+                Samples.spec("req-%06d".format(n), team = "blue", tasks = size, kind = JobKind.SERVICE, priority = Priority.PRODUCTION, cpus = 1.0, spot = false, spread = true)
+            world.after(n * SECOND / 8) { world.user(spec, null) }
+        }
+        (1..arrays).forEach { n ->
+            val size = 20 + n * 7 % 90
+            tasks += size
+            val spec = Samples.spec("req-%06d".format(1000 + n), team = "blue", tasks = size, cpus = 4.0, estimateS = 10.0)
+            world.after(n * SECOND / 4) { world.user(spec, null) }
+        }
+        world.run(110 * SECOND)
+        val jobs = services + arrays
+        assertEquals(emptyList<String>(), world.rules.breaches.distinct().take(5))
+        assertTrue(world.workers.size > 500, "${world.workers.size} machines")
+        assertTrue(world.rules.starts >= tasks * 9 / 10, "${world.rules.starts} of $tasks tasks started")
+        // Stored, placed and finished, with some parts: a handful of writes for each job, whatever its tasks.
+        val writes = world.state.writes
+        val byKind = world.state.writesByKind
+        assertTrue((byKind["j"] ?: 0) + (byKind["k"] ?: 0) < jobs * 6, "$byKind")
+        // One record for each part, not for each machine.
+        assertTrue((byKind["f"] ?: 0) < world.workers.size / 4, "$byKind for ${world.workers.size} machines")
+        assertTrue(writes < 110 * 40, "$writes writes in 110 s")
+        assertTrue(world.state.requests < 110 * 100, "${world.state.requests} requests in 110 s")
+        assertTrue(world.state.bytesWritten < 25_000L * jobs, "${world.state.bytesWritten} bytes")
+        // Starts go out together with others for the same machine, and what is only to be forgotten waits for a report.
+        val calls = world.nodes.sumOf { it.calls }
+        assertTrue(calls < 3L * world.rules.starts, "$calls calls for ${world.rules.starts} starts")
+    }
+}
--- a/src/test/kotlin/mintpick/sim/SimState.kt
+++ b/src/test/kotlin/mintpick/sim/SimState.kt
@@ -36,6 +36,15 @@
     var revision = 0L
         private set
     var out = false
+
+    /** What was asked of it, as the limits count. */
+    var requests = 0L
+        private set
+    var writes = 0L
+        private set
+    var bytesWritten = 0L
+        private set
+    val writesByKind = HashMap<String, Int>()
     private val items = TreeMap<String, Item>()
     private val log = ArrayList<StateEvent>()
     private val leases = HashMap<Long, Pair<Micros, Micros>>()
@@ -75,6 +84,8 @@
         val query =
             path.substringAfter('?', "").split('&').associate { it.substringBefore('=') to it.substringAfter('=', "") }
         val route = path.substringBefore('?')
+        requests++
+        if (route == "/multi") bytesWritten += body.length
         if (route == "/follow") {
             val wait = (query["wait_ms"]?.toLong() ?: 0) * 1000
             if (out && wait == 0L) return answer(Http(503, "{}"))
@@ -126,6 +137,8 @@
     }
 
     fun transact(transaction: Transaction): Http {
+        writes += transaction.changes.size
+        transaction.changes.forEach { writesByKind.merge((it.put ?: it.delete).orEmpty().split('/').getOrElse(1) { "" }, 1, Int::plus) }
         val failed = transaction.guards.filter { (items[it.key]?.version ?: 0) != it.version }.map { it.key }
         if (failed.isNotEmpty()) return Http(409, WireJson.encodeToString(TransactionAnswer.serializer(), TransactionAnswer(revision, failed)))
         if (transaction.changes.any { it.lease != null && it.lease !in leases }) return Http(400, """{"error":"no such lease"}""")
