--- a/src/main/kotlin/mintpick/core/Demand.kt
+++ b/src/main/kotlin/mintpick/core/Demand.kt
@@ -24,6 +24,8 @@
         val perZone: Map<String, Int> = emptyMap(),
         /** Whether work that may use spot machines is worth an ordinary one. */
         val ordinary: Boolean = true,
+        /** Not there yet: no reason to keep ordinary machines for what may use spot ones. */
+        val spare: Boolean = false,
     )
 
     private class Bin(
@@ -81,8 +83,8 @@
             if (missed.none { (it.spot || !want.spec.spot) && it.isService == want.spec.isService && it.demand.fits(want.spec.demand) }) {
                 // What may use spot machines leaves ordinary ones to what may not.
                 if (want.spec.spot) left = fill(want.spec, left, bins, counts) { it.offer.spot }
-                left = fill(want.spec, left, bins, counts) { true }
-                if (left > 0 && counts.values.sum() == 0 && want.spec.types == null && want.spec.zone == null) missed += want.spec
+                if (!want.spec.spot || !want.spare) left = fill(want.spec, left, bins, counts) { true }
+                if (left > 0 && !want.spare && counts.values.sum() == 0 && want.spec.types == null && want.spec.zone == null) missed += want.spec
             }
             left = fill(want.spec, left, fresh, counts) { true }
             while (left > 0) {
--- a/src/main/kotlin/mintpick/core/Placement.kt
+++ b/src/main/kotlin/mintpick/core/Placement.kt
@@ -30,12 +30,20 @@
     internal class Slot(
         val room: Room,
         var free: Resources,
-    )
+    ) {
+        val leftByServices: Double = (room.free + room.yielding).dominantShare(room.total)
+    }
 
     /** Rooms as one planning pass fills them. Parts taken from the same rooms share what is left. */
     class Rooms private constructor(
         internal val slots: List<Slot>,
     ) {
+        /**
+         * Those that services fill most come first: the gaps of machines that batch work has filled would scatter
+         * services over all of them, and none could be returned when that work is done.
+         */
+        internal val byServices: List<Slot> by lazy { slots.filter { !it.room.spot }.sortedBy { it.leftByServices } }
+
         private val byMachine: Map<MachineId, Slot> by lazy { slots.associateBy { it.room.machine } }
 
         /** Shapes that found no room at all in this pass: what needs as much need not look again. */
@@ -112,13 +120,14 @@
         hurried: Boolean,
     ): List<Pair<Slot, Int>> {
         val found = ArrayList<Pair<Slot, Int>>()
-        val start = if (hurried && rooms.slots.isNotEmpty()) random.nextInt(rooms.slots.size) else 0
+        val slots = if (spec.isService && !spec.spot) rooms.byServices else rooms.slots
+        val start = if (hurried && !spec.isService && slots.isNotEmpty()) random.nextInt(slots.size) else 0
         var held = 0
         for (spot in if (spec.spot) listOf(true, false) else listOf(false)) {
             if (held >= limit && !spec.spread) break
             val zones = HashMap<String, Int>()
-            for (i in rooms.slots.indices) {
-                val slot = rooms.slots[(start + i) % rooms.slots.size]
+            for (i in slots.indices) {
+                val slot = slots[(start + i) % slots.size]
                 val room = slot.room
                 if (room.spot != spot || !allowed(spec, room.type, room.zone, room.spot) || (onlyZone != null && room.zone != onlyZone)) continue
                 val count = spec.demand.countIn(slot.free)
@@ -138,7 +147,7 @@
         return compareByDescending<Pair<Slot, Int>> { it.first.room.spot }
             .thenByDescending { it.first.room.hasImage(image) }
             .thenByDescending { it.first.room.own && it.first.room.ready }
-            .thenBy { it.first.free.dominantShare(it.first.room.total) }
+            .thenBy { if (spec.isService) it.first.leftByServices else it.first.free.dominantShare(it.first.room.total) }
             .thenBy { it.first.room.machine.text }
     }
 
--- a/src/main/kotlin/mintpick/engine/Capacity.kt
+++ b/src/main/kotlin/mintpick/engine/Capacity.kt
@@ -161,6 +161,7 @@
     }
 
     private val failed = HashSet<MachineId>()
+    private val emptySince = HashMap<MachineId, Micros>()
 
     /** Asks for machines, in as many requests as it takes and the limit allows now. */
     fun rent(
@@ -218,7 +219,7 @@
         val names = ArrayList<MachineId>()
         for (known in replica.machines.values) {
             val retiring = known.record.retiring
-            val empty = retiring == Retiring.DRAIN && replica.tasksOn(known.id).isEmpty()
+            val empty = retiring == Retiring.DRAIN && isSettledEmpty(known.id)
             if ((retiring == Retiring.NOW || empty) && !observer.isGone(known.id)) names += known.id
         }
         for (waiting in booting.values) if (isOverdue(waiting)) names += waiting.id
@@ -234,11 +235,21 @@
                     observer.gone(it, "released")
                     booting.remove(it)
                     failed.remove(it)
+                    emptySince.remove(it)
                 }
             }
         }
     }
 
+    /** Empty for a moment: its controller may have placed something there before it saw the mark. */
+    private fun isSettledEmpty(id: MachineId): Boolean {
+        if (replica.tasksOn(id).isNotEmpty()) {
+            emptySince.remove(id)
+            return false
+        }
+        return kernel.now - emptySince.getOrPut(id) { kernel.now } >= EMPTY_LEAST
+    }
+
     /** Some machines never come up, and are charged until they are returned. */
     private fun isOverdue(waiting: Booting): Boolean {
         val boot = replica.types[waiting.offer.type]?.bootS ?: return false
@@ -257,6 +268,7 @@
         private const val TYPES_EVERY: Micros = 30 * SECOND
         private const val RETRY: Micros = SECOND
         private const val NO_CAPACITY: Micros = 15 * SECOND
+        private const val EMPTY_LEAST: Micros = 600 * MILLI
         private const val RELEASE_EVERY: Micros = 500 * MILLI
         private const val BOOT_PATIENCE = 3.0
         private const val BOOT_MARGIN: Micros = 10 * SECOND
--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -45,6 +45,7 @@
     private var nextHintUs: Micros = 0
     private var nextPlanUs: Micros = 0
     private var hints = 0
+    private var toldLack = false
 
     init {
         ownership.calm = { standing.heardAllSince(kernel.now - CALM) }
@@ -134,8 +135,11 @@
 
     /** Tells the other controllers how we stand. */
     private fun hint() {
-        if (kernel.now < nextHintUs) return
+        // That we lack room is told at once: a job that another could place waits for it.
+        val news = scheduling.lacksRoom && !toldLack && kernel.now >= nextHintUs - HINT_EVERY + HINT_LEAST
+        if (kernel.now < nextHintUs && !news) return
         nextHintUs = kernel.now + HINT_EVERY
+        toldLack = scheduling.lacksRoom
         val body = MeshProtobuf.encodeToByteArray(PeerHint.serializer(), ownHint(withMachines = hints++ % 2 == 0))
         for (peer in settings.peers) {
             val call = Call(Target.Peer(peer.address.toString()), "POST", "/hint", body, HINT_TIMEOUT, PROTOBUF)
@@ -172,6 +176,7 @@
         private const val PLAN_EVERY: Micros = 40 * MILLI
         private const val CALM: Micros = 3_000 * MILLI
         private const val HINT_EVERY: Micros = 1_000 * MILLI
+        private const val HINT_LEAST: Micros = 250 * MILLI
         private const val HINT_TIMEOUT: Micros = 800 * MILLI
     }
 }
--- a/src/main/kotlin/mintpick/engine/Replica.kt
+++ b/src/main/kotlin/mintpick/engine/Replica.kt
@@ -11,6 +11,8 @@
 import mintpick.core.Resources
 import mintpick.core.TaskId
 import mintpick.core.demand
+import mintpick.core.isProduction
+import mintpick.core.isService
 import mintpick.store.Keys
 import mintpick.store.RecordCodec
 import mintpick.wire.ClaimRecord
@@ -54,6 +56,7 @@
     private val finals = Long2IntOpenHashMap()
     private val tasksByMachine = HashMap<MachineId, MutableMap<TaskId, Int>>()
     private val usedByMachine = HashMap<MachineId, Resources>()
+    private val servicesByMachine = HashMap<MachineId, Resources>()
     private val usedByTeam = HashMap<String, Resources>()
 
     val jobs: Collection<Job> get() = jobMap.values
@@ -105,6 +108,9 @@
 
     fun usedOn(machine: MachineId): Resources = usedByMachine[machine] ?: Resources.ZERO
 
+    /** What services take of a machine; the rest of what is used makes way for them. */
+    fun servicesOn(machine: MachineId): Resources = servicesByMachine[machine] ?: Resources.ZERO
+
     fun usedBy(team: String): Resources = usedByTeam[team] ?: Resources.ZERO
 
     fun reached(revision: Long) {
@@ -256,8 +262,10 @@
             if (tasks.isEmpty()) {
                 tasksByMachine.remove(at.machine)
                 usedByMachine.remove(at.machine)
+                servicesByMachine.remove(at.machine)
             } else {
                 usedByMachine[at.machine] = usedOn(at.machine) + demand * sign.toDouble()
+                if (job.spec.isService || job.spec.isProduction) servicesByMachine[at.machine] = servicesOn(at.machine) + demand * sign.toDouble()
             }
         }
         if (count > 0) usedByTeam[job.spec.team] = usedBy(job.spec.team) + demand * (sign * count).toDouble()
--- a/src/main/kotlin/mintpick/engine/Roster.kt
+++ b/src/main/kotlin/mintpick/engine/Roster.kt
@@ -69,7 +69,8 @@
             replica.machines.values
                 .filter { observer.isGone(it.id) && replica.tasksOn(it.id).isEmpty() }
                 .groupBy { ownership.part(it.id.text) }
-        marks.keys.retainAll { it in replica.machines && !observer.isGone(it) }
+        // Only its controller judges a machine to be lost: another's silence says nothing.
+        marks.entries.removeIf { (id, mark) -> id !in replica.machines || observer.isGone(id) || (mark.how == Retiring.NOW && !ownership.controls(id)) }
         val marked = marks.entries.groupBy { ownership.part(it.key.text) }
         for (part in added.keys + marked.keys + dropped.keys) {
             val hurry = marked[part].orEmpty().any { it.value.how == Retiring.NOW }
--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -102,7 +102,7 @@
         // What was just observed moves in the same write; otherwise planning more often than this finds nothing new.
         val urgent = drafts.values.any { it.job.waiting > it.before.waiting }
         if (kernel.now < nextPassUs && !urgent) return
-        nextPassUs = kernel.now + PASS
+        nextPassUs = kernel.now + if (replica.waitingJobs().size > FEW) PASS else PASS / 3
         val waiting = LinkedHashMap<JobId, Job>()
         replica.waitingJobs().forEach { waiting[it.id] = it }
         drafts.values.forEach { if (it.job.waiting > 0) waiting[it.job.id] = it.job else waiting.remove(it.job.id) }
@@ -115,9 +115,9 @@
         val wide = Placer.Rooms.of(rooms(changes))
         val pass = Pass(changes, draftOf, wide.part { it.own }, wide)
         pass.hurried = waiting.size > HURRY
-        pass.parts = kernel.now >= nextPartsUs
-        val left = ArrayList<Job>()
         val budget = changes.budget()
+        pass.parts = kernel.now >= nextPartsUs || budget >= plenty
+        val left = ArrayList<Job>()
         var short = false
         for (job in order(waiting.values)) {
             if (!observer.mayPlace(job.id)) continue
@@ -135,7 +135,8 @@
                 left += job
                 if (placed == 0 && rooms != null && free && mayWrite) {
                     short = true
-                    preemptor.seek(job, rooms, zonesOf(job))
+                    // Another controller may have room, for which nobody has to be stopped.
+                    if (kernel.now - (still[job.id]?.sinceUs ?: kernel.now) >= SEEK_AFTER) preemptor.seek(job, rooms, zonesOf(job))
                 }
             }
         }
@@ -233,6 +234,9 @@
         return count
     }
 
+    /** So many writes free that parts of jobs need not wait for each other. */
+    private val plenty = kernel.settings.limits.writeRps / (kernel.settings.peers.size + 1) * PLENTY
+
     private val maxBorrowed = kernel.settings.limits.transactionOps
 
     /** How many more tasks the team's limit allows. */
@@ -290,6 +294,7 @@
             type.capacity,
             { view?.hasImage(it) == true || (hint != null && it in hint) },
             own,
+            yielding = replica.usedOn(known.id) - replica.servicesOn(known.id),
             ready = !settling,
         )
     }
@@ -307,8 +312,11 @@
         private const val PRODUCTION_WRITES = 0.6
         private const val PASS: Micros = 120 * MILLI
         private const val PART_EVERY: Micros = 800 * MILLI
-        private const val HELP_SOON: Micros = 1_200 * MILLI
-        private const val HELP_LATE: Micros = 3 * SECOND
+        private const val FEW = 50
+        private const val PLENTY = 0.75
+        private const val HELP_SOON: Micros = 200 * MILLI
+        private const val HELP_LATE: Micros = 1_500 * MILLI
+        private const val SEEK_AFTER: Micros = 600 * MILLI
         private const val LARGE_AFTER: Micros = 15 * SECOND
         private const val MOST_HANDICAP: Micros = 30 * SECOND
     }
--- a/src/main/kotlin/mintpick/engine/Supply.kt
+++ b/src/main/kotlin/mintpick/engine/Supply.kt
@@ -10,7 +10,6 @@
 import mintpick.core.capacity
 import mintpick.core.demand
 import mintpick.core.isGang
-import mintpick.core.isProduction
 import mintpick.core.isService
 import mintpick.wire.JobSpec
 import mintpick.wire.Retiring
@@ -142,14 +141,7 @@
     }
 
     /** What batch work holds on a machine: services may have it, so it is no reason to rent more for them. */
-    private fun yielding(machine: MachineId): Resources {
-        var held = Resources.ZERO
-        for (task in replica.tasksOn(machine).keys) {
-            val spec = replica.job(task.job)?.spec ?: continue
-            if (!spec.isService && !spec.isProduction) held += spec.demand
-        }
-        return held
-    }
+    private fun yielding(machine: MachineId): Resources = replica.usedOn(machine) - replica.servicesOn(machine)
 
     /**
      * Work that may use spot machines is worth ordinary ones when the spot machines would need too long for
@@ -198,20 +190,22 @@
             } else {
                 val peak = seen.history.maxOfOrNull { it.second } ?: 0
                 val spare = ceil(peak * operators.batchHeadroom).toInt() - now
-                if (spare <= 0) null else Shopper.Want(seen.spec.copy(spread = false, oneZone = false), spare, ordinary = false)
+                if (spare <= 0) null else Shopper.Want(seen.spec.copy(spread = false, oneZone = false), spare, ordinary = false, spare = true)
             }
         }
 
     private fun returnIdle(unused: Set<MachineId>) {
-        val machine =
-            unused
-                .filter { kernel.now - (idleSince[it] ?: kernel.now) >= patienceWith(replica.machines[it] ?: return@filter false) }
-                .let { it.take(maxOf(2, it.size / RETURN_PART)) }
-        machine.forEach { roster.retire(it, Retiring.DRAIN, "idle") }
+        val idle = unused.mapNotNull { replica.machines[it] }.sortedBy { it.id.text }
+        val (spot, ordinary) = idle.partition { it.record.spot }
+        // Ordinary machines cost several times as much: beyond a few that may soon be wanted again they go early.
+        val due = (spot + ordinary.take(KEPT)).filter { isIdleFor(it, operators.idleUs) } + ordinary.drop(KEPT).filter { isIdleFor(it, operators.idleUs / EARLY) }
+        due.take(maxOf(2, due.size / RETURN_PART)).forEach { roster.retire(it.id, Retiring.DRAIN, "idle") }
     }
 
-    /** Ordinary machines cost several times as much, and batch work seldom needs them again soon. */
-    private fun patienceWith(known: KnownMachine): Micros = if (known.record.spot) operators.idleUs else operators.idleUs / ORDINARY_PART
+    private fun isIdleFor(
+        known: KnownMachine,
+        span: Micros,
+    ): Boolean = kernel.now - (idleSince[known.id] ?: kernel.now) >= span
 
     private fun watchHealth() {
         for (known in replica.machines.values) {
@@ -227,7 +221,8 @@
         private const val MAX_NEW = 240
         private const val MAX_WANTS = 200
         private const val RETURN_PART = 4
-        private const val ORDINARY_PART = 3
+        private const val EARLY = 3
+        private const val KEPT = 4
         private const val MAX_ERRORS = 3
         private const val DEFAULT_EXPECTATION_S = 60.0
         private const val LATE_BOOT = 1.6
--- a/src/test/kotlin/mintpick/core/PlacerTest.kt
+++ b/src/test/kotlin/mintpick/core/PlacerTest.kt
@@ -78,4 +78,16 @@
         assertEquals(emptyMap<Offer, Int>(), shopper.plan(listOf(full), listOf(service), 5).rent)
         assertEquals(1, shopper.plan(listOf(full), listOf(Shopper.Want(Samples.spec(cpus = 1.0), 3)), 5).rent.values.sum())
     }
+
+    /** Room kept for batch work that may come back once held hundreds of dear machines for a minute after each peak. */
+    @Test
+    fun `expected batch work keeps no ordinary machine`() {
+        val types = listOf(mintpick.wire.MachineType("small", 8.0, 0.0, 32.0, price = 1.0, spotPrice = 0.2, zones = listOf("north"))).associateBy { it.name }
+        val total = Resources(8.0, 0.0, 32.0)
+        val rooms = listOf(true, false).map { spot -> Room(MachineId("spot-$spot"), "small", "north", spot, total, total, { false }, true) }
+        val shopper = Shopper(types, listOf("north")) { false }
+        val spec = Samples.spec(cpus = 4.0)
+        assertEquals(setOf(MachineId("spot-false")), shopper.plan(rooms, listOf(Shopper.Want(spec, 4, ordinary = false, spare = true)), 5).unused)
+        assertEquals(emptySet<MachineId>(), shopper.plan(rooms, listOf(Shopper.Want(spec, 4, ordinary = false)), 5).unused)
+    }
 }
