A quarter of the writes is kept for submissions; controllers' parts add up to the limit

Since parts of jobs may go while writes abound, they used all there were, and the controllers' buckets added up to 1.2 times the limit. Ruled out: restarts (same times to the second), 503s of our own (18 and 27).

--- a/src/main/kotlin/mintpick/engine/Caretaker.kt
+++ b/src/main/kotlin/mintpick/engine/Caretaker.kt
@@ -143,7 +143,7 @@
         private const val PROBES = 2
 
         /** Most machines asked in a second. */
-        private const val HEARTBEATS = 40
+        private const val HEARTBEATS = 25
 
         /** A worker gives up a report after 4 s, and its next controller answers a second later. */
         private const val TURN_AWAY: Micros = 6 * SECOND
--- a/src/main/kotlin/mintpick/engine/Changes.kt
+++ b/src/main/kotlin/mintpick/engine/Changes.kt
@@ -70,7 +70,10 @@
     fun isTeamFree(team: String): Boolean = team !in openTeams
 
     /** How many drafts are worth making now. */
-    fun budget(): Int = if (hasRoom) link.writesAllowed() else 0
+    fun budget(): Int = if (hasRoom) link.writesAllowed() - kept else 0
+
+    /** Writes that drafts leave for the next submissions, which users wait for. */
+    private val kept = (kernel.settings.limits.writeRps / (kernel.settings.peers.size + 1) * KEPT_PART).toInt()
 
     /** Writes drafts and pending submissions, the latter first, as far as the limits allow. */
     fun commit(drafts: Collection<Draft>) {
@@ -85,8 +88,8 @@
                 Part(id, setOf(Guard(write.key, 0)), listOf(write), emptyList(), size(write), { desk.submitted(id) }) { pending.taken = false }
         }
         // Apart from drafts, whose conflicts must not hold them up.
-        send(stored)
-        send(drafts.filter { it.changed }.map(::partOf))
+        send(stored, 0)
+        send(drafts.filter { it.changed }.map(::partOf), kept)
     }
 
     private fun partOf(draft: Draft): Part {
@@ -129,7 +132,10 @@
 
     private fun size(write: Write): Int = write.key.length + (write.value?.toString()?.length ?: 0) + WRITE_OVERHEAD
 
-    private fun send(parts: List<Part>) {
+    private fun send(
+        parts: List<Part>,
+        keep: Int,
+    ) {
         var group = ArrayList<Part>()
         var dropRest = false
         var writes = 0
@@ -147,7 +153,7 @@
                 writes = 0
                 bytes = 0
             }
-            dropRest = dropRest || link.transactionsOpen >= MAX_OPEN || writes + part.writes.size > maxOf(1, link.writesAllowed())
+            dropRest = dropRest || link.transactionsOpen >= MAX_OPEN || writes + part.writes.size > maxOf(1, link.writesAllowed() - keep)
             // A part whose guards alone are too many for one transaction could never be written: it is planned anew, smaller.
             if (dropRest || part.guards.size > ops * GUARDS_PER_OP) {
                 part.dropped()
@@ -225,6 +231,7 @@
     companion object {
         private val LOG = LoggerFactory.getLogger(Changes::class.java)
         private const val MAX_OPEN = 4
+        private const val KEPT_PART = 0.25
         private const val MAX_BYTES = 40 * 1024
         private const val GUARDS_PER_OP = 4
         private const val RESERVE = 4
--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -234,7 +234,7 @@
         return count
     }
 
-    /** So many writes free that parts of jobs need not wait for each other. */
+    /** So many writes free, beyond those kept for submissions, that parts of jobs need not wait for each other. */
     private val plenty = kernel.settings.limits.writeRps / (kernel.settings.peers.size + 1) * PLENTY
 
     private val maxBorrowed = kernel.settings.limits.transactionOps
@@ -313,7 +313,7 @@
         private const val PASS: Micros = 120 * MILLI
         private const val PART_EVERY: Micros = 800 * MILLI
         private const val FEW = 50
-        private const val PLENTY = 0.75
+        private const val PLENTY = 0.6
         private const val HELP_SOON: Micros = 200 * MILLI
         private const val HELP_LATE: Micros = 1_500 * MILLI
         private const val SEEK_AFTER: Micros = 600 * MILLI
--- a/src/main/kotlin/mintpick/engine/StateLink.kt
+++ b/src/main/kotlin/mintpick/engine/StateLink.kt
@@ -315,7 +315,7 @@
 
         /** Parts of the limits that controllers plan for; the rest is for leases and bursts. */
         private const val SHARE = 0.9
-        private const val WRITE_SHARE = 1.2
+        private const val WRITE_SHARE = 1.0
         private const val PAGE = 500
         private const val LATENCY_MAX: Micros = 60 * SECOND
         private const val RETRY: Micros = 250 * MILLI
