A machine that comes back is judged from then on; confirmations and lists wait just after a start

Cause: two machines were returned as one-way right after a cut between zones: their shard had just come back to us, and the calls that had failed before we lost it were still counted, since who controls what was looked at after the judgement. Ruled out: calls under way across the change (they fail or succeed within 1.5 s and count anew).

Change: control is looked at first in every step. Also, for the seconds after a start in which users waited: at most ten confirmations in 200 ms, since most machines confirm themselves with their reports, and the first list of machines 2 s later.

--- a/src/main/kotlin/mintpick/core/MachineView.kt
+++ b/src/main/kotlin/mintpick/core/MachineView.kt
@@ -123,8 +123,6 @@
         launches[attempt]?.inFlight = false
     }
 
-    fun isOpen(attempt: AttemptId): Boolean = attempt in launches
-
     /** A start without an answer on a machine that has spoken since: only a higher token makes it harmless. */
     val needsHigherToken: Boolean get() = launches.values.any { !it.inFlight }
 
--- a/src/main/kotlin/mintpick/engine/Capacity.kt
+++ b/src/main/kotlin/mintpick/engine/Capacity.kt
@@ -67,7 +67,8 @@
         if (!link.serving) return
         if (kernel.now >= nextNoticeUs) notice()
         if (kernel.now >= nextTypesUs) fetchTypes()
-        if (!listing && kernel.now >= nextListUs) list()
+        // Just after a start there is more urgent work than reading a thousand machines.
+        if (!listing && kernel.now >= nextListUs && kernel.now - link.servingSinceUs > SETTLE) list()
         retryRentals()
         if (ownership.isLeader && standing.healthy() && kernel.now >= nextReleaseUs) release()
     }
@@ -268,6 +269,7 @@
         private const val TYPES_EVERY: Micros = 30 * SECOND
         private const val RETRY: Micros = SECOND
         private const val NO_CAPACITY: Micros = 15 * SECOND
+        private const val SETTLE: Micros = 2 * SECOND
         private const val EMPTY_LEAST: Micros = 600 * MILLI
         private const val RELEASE_EVERY: Micros = 500 * MILLI
         private const val BOOT_PATIENCE = 3.0
--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -60,6 +60,7 @@
         events.forEach(::handle)
         link.tick()
         ownership.tick()
+        fleet.watchControl()
         accounting.tick()
         capacity.tick()
         supply.tick()
--- a/src/main/kotlin/mintpick/engine/Fleet.kt
+++ b/src/main/kotlin/mintpick/engine/Fleet.kt
@@ -323,8 +323,11 @@
         return ownership.controls(view.id) && view.hasLapsed(kernel.now, tenure.sinceUs, tenure.token, kernel.settings.leaseUs)
     }
 
-    /** Whose machines are whose changes with few records, and every such change is looked at. */
-    private fun watchControl() {
+    /**
+     * Whose machines are whose changes with few records, and every such change is looked at, before anybody is judged:
+     * a machine that had just come back to us was once given up for calls that had failed before we lost it.
+     */
+    fun watchControl() {
         if (replica.controlEpoch == epochSeen && link.lease == leaseSeen) return
         epochSeen = replica.controlEpoch
         leaseSeen = link.lease
@@ -345,19 +348,21 @@
 
     /** Sends [touched] machines what changed for them, confirms machines that came under our control, and raises the token where a start was lost. */
     fun tick(touched: Collection<MachineId>) {
-        watchControl()
         if (!standing.healthy()) return
         touched.forEach { if (it in mineSince) push(it) }
         if (kernel.now < nextTickUs) return
         nextTickUs = kernel.now + TICK
         orders.clean()
+        // Hundreds at once would keep users waiting: most confirm themselves with their next reports.
+        var confirmations = 0
         for (known in replica.machines.values) {
             if (known.id !in mineSince) continue
             val view = views[known.id]
             val claim = ownership.control(known.id) ?: continue
             if (view != null && view.needsHigherToken && kernel.now - view.heardUs < RECENT) ownership.raise(known.id, "lost-start")
             val unconfirmed = view?.latest == null || view.token < claim.version
-            if (unconfirmed && kernel.now >= (confirmAfter[known.id] ?: 0)) {
+            if (unconfirmed && kernel.now >= (confirmAfter[known.id] ?: 0) && confirmations < MAX_CONFIRMATIONS) {
+                confirmations++
                 confirmAfter[known.id] = kernel.now + CONFIRM_EVERY
                 push(known.id)
             } else if (isUnreachable(known.id)) {
@@ -374,6 +379,7 @@
         private const val FRESH_MARGIN: Micros = 2 * SECOND
         private const val SETTLING: Micros = 2 * SECOND
         private const val TICK: Micros = 200 * MILLI
+        private const val MAX_CONFIRMATIONS = 10
         private const val CONFIRM_EVERY: Micros = SECOND
         private const val RETRY_LEAST: Micros = SECOND / 2
         private const val RETRY_MOST: Micros = 3 * SECOND
--- a/src/main/kotlin/mintpick/engine/Replica.kt
+++ b/src/main/kotlin/mintpick/engine/Replica.kt
@@ -71,7 +71,6 @@
         private set
     private val tables = HashMap<Int, Set<MachineId>>()
     private val waitingIds = LinkedHashSet<JobId>()
-    private val cancelledIds = HashSet<JobId>()
 
     /** Machines whose assigned tasks or records have changed since this was last emptied. */
     val touched = HashSet<MachineId>()
@@ -83,9 +82,6 @@
     /** Open jobs with tasks that wait. */
     fun waitingJobs(): List<Job> = waitingIds.mapNotNull { jobMap[it] }
 
-    /** Cancelled jobs with tasks still to be seen gone. */
-    fun cancelledJobs(): Set<JobId> = cancelledIds
-
     fun job(id: JobId): Job? = jobMap[id]
 
     fun final(id: JobId): FinalJob? {
@@ -244,7 +240,6 @@
         after?.let { account(it, 1) }
         if (after == null) jobMap.remove(id) else jobMap[id] = after
         if (after != null && after.waiting > 0) waitingIds += id else waitingIds -= id
-        if (after != null && after.stage == StoredStage.CANCELLED) cancelledIds += id else cancelledIds -= id
     }
 
     private fun account(
