--- a/src/test/kotlin/mintpick/sim/World.kt
+++ b/src/test/kotlin/mintpick/sim/World.kt
@@ -23,7 +23,6 @@
 import mintpick.wire.MachineListPage
 import mintpick.wire.MachineNames
 import mintpick.wire.MachineReport
-import mintpick.wire.MachineType
 import mintpick.wire.MachineTypes
 import mintpick.wire.MeshProtobuf
 import mintpick.wire.Misdirected
@@ -35,21 +34,6 @@
 import java.util.PriorityQueue
 import java.util.SplittableRandom
 
-/** Odds of what goes wrong with any one message, in thousandths. */
-data class Luck(
-    val lost: Int = 0,
-    val lostAnswer: Int = 0,
-    val late: Int = 0,
-    /** Reports of which another copy comes seconds to over a lease later, to whichever controller. */
-    val copied: Int = 0,
-)
-
-/** How large the world may grow. */
-data class Size(
-    val machines: Int = 14,
-    val listed: Int = 30,
-)
-
 /** Three engines, a state service, a cloud, workers and users in one virtual time, with troubles at will. */
 class World(
     seed: Long,
@@ -57,12 +41,6 @@
     private val size: Size = Size(),
     private val settingsOf: (Int) -> Settings,
 ) : TaskWatcher {
-    private class Timer(
-        val atUs: Micros,
-        val order: Long,
-        val run: () -> Unit,
-    )
-
     inner class Node(
         private val index: Int,
     ) {
@@ -277,7 +255,7 @@
         val route = call.path.substringBefore('?')
         val text =
             when {
-                route == "/machine_types" -> WireJson.encodeToString(MachineTypes.serializer(), MachineTypes(TYPES))
+                route == "/machine_types" -> WireJson.encodeToString(MachineTypes.serializer(), MachineTypes(MACHINE_TYPES))
                 route == "/rentals/release" -> {
                     WireJson.decodeFromString(MachineNames.serializer(), body).machines.forEach(::remove)
                     "{}"
@@ -517,10 +495,5 @@
         private const val STEP: Micros = 20 * MILLI
         private const val TICK: Micros = 100 * MILLI
         private const val WALL: Micros = 1_700_000_000 * SECOND
-        val TYPES =
-            listOf(
-                MachineType("small", 8.0, 0.0, 32.0, 30.0, 0.5, 0.4, 0.1, 5.0, listOf("north", "south")),
-                MachineType("large", 16.0, 0.0, 64.0, 30.0, 0.5, 0.9, 0.25, 4.0, listOf("north", "south")),
-            )
     }
 }
