--- /dev/null
+++ b/src/test/kotlin/mintpick/engine/StandingTest.kt
@@ -0,0 +1,140 @@
+package mintpick.engine
+
+import mintpick.Samples
+import mintpick.core.MILLI
+import mintpick.core.Micros
+import mintpick.core.NodeId
+import mintpick.core.SECOND
+import mintpick.net.Outcome
+import mintpick.sim.SimState
+import mintpick.store.Keys
+import mintpick.wire.Change
+import mintpick.wire.ClaimRecord
+import mintpick.wire.PeerHint
+import mintpick.wire.Transaction
+import mintpick.wire.WireJson
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.SplittableRandom
+
+/** One controller's parts that judge its own standing, before a stand-in of the state service. */
+class StandingTest {
+    private class Controller(
+        val state: SimState = SimState(),
+    ) {
+        private val kernel = Kernel(Samples.settings(0), SplittableRandom(1))
+        private val link = StateLink(kernel)
+        val ownership = Ownership(kernel, link)
+        val standing = Standing(kernel, link)
+        private val answers = ArrayList<Pair<Long, Outcome>>()
+        var connected = true
+        var now: Micros = 0
+
+        val replica get() = kernel.replica
+        val serving get() = link.serving
+
+        fun run(span: Micros) {
+            val until = now + span
+            while (now < until) step()
+        }
+
+        fun step() {
+            now += STEP
+            kernel.begin(now, now)
+            state.tick(now)
+            answers.toList().also { answers.clear() }.forEach { (id, outcome) -> kernel.callDone(id, outcome) }
+            link.tick()
+            ownership.tick()
+            for (effect in kernel.takeEffects()) {
+                if (effect !is Effect.Start || !connected) continue
+                val call = effect.call
+                state.request(now, call.method, call.path, (call.body ?: ByteArray(0)).decodeToString()) {
+                    if (connected) answers += effect.id to Outcome.Answered(it.status, it.body.encodeToByteArray())
+                }
+            }
+        }
+
+        /** A peer says when the state service last served it. */
+        fun hear(
+            node: String,
+            stateAgeUs: Micros,
+        ) = standing.onHint(PeerHint(node, stateAgeUs, emptyList(), 0, false, false))
+    }
+
+    private fun cutOff() =
+        Controller().apply {
+            run(5 * SECOND)
+            assertTrue(serving && standing.mayAnswerWorkers() && standing.up())
+            connected = false
+        }
+
+    /** Without it the workers of a controller that is refused alone wait for commands that it can't give. */
+    @Test
+    fun `workers are handed over when a peer is served and we are not`() {
+        val controller = cutOff()
+        controller.run(5 * SECOND)
+        assertTrue(controller.standing.mayAnswerWorkers(), "nobody else is known to do better")
+        controller.hear("node-1", SECOND / 10)
+        assertFalse(controller.standing.mayAnswerWorkers())
+        assertFalse(controller.standing.up())
+    }
+
+    /** In an outage for all, sending workers away would spend their leases on controllers that are no better off. */
+    @Test
+    fun `workers are kept in an outage that peers share`() {
+        val controller = cutOff()
+        repeat(30) {
+            controller.run(SECOND)
+            controller.hear("node-1", -1)
+            controller.hear("node-2", (it + 1) * SECOND)
+            assertTrue(controller.standing.mayAnswerWorkers())
+            assertTrue(controller.standing.up())
+        }
+    }
+
+    /** A cancellation that we could not hear of must still be in time: the leases lapse before `cancel_s` is over. */
+    @Test
+    fun `workers are let go in time for a cancellation that could not be heard of`() {
+        val settings = Samples.settings(0)
+        val controller = cutOff()
+        var answeredUntil: Micros = 0
+        val from = controller.now
+        while (controller.now - from < 60 * SECOND) {
+            controller.step()
+            if (controller.standing.mayAnswerWorkers()) answeredUntil = controller.now - from
+        }
+        assertTrue(answeredUntil > settings.leaseUs, "services go on for a while: $answeredUntil")
+        assertTrue(answeredUntil + settings.leaseUs < settings.cancelUs, "$answeredUntil and a lease are within ${settings.cancelUs}")
+    }
+
+    /**
+     * An earlier process of this name may still have commands under way under the old claim's token, so the claim
+     * counts as ours only once it is written anew, which raises the token above all that was sent before.
+     */
+    @Test
+    fun `a claim of an earlier process under our name is not ours until it is written anew`() {
+        val state = SimState()
+        val record = WireJson.encodeToJsonElement(ClaimRecord.serializer(), ClaimRecord("node-0", 999))
+        state.transact(Transaction(emptyList(), listOf(Change(put = Keys.shard(0), value = record))))
+        val controller = Controller(state)
+        var old = 0
+        while (controller.now < 3 * SECOND) {
+            controller.step()
+            val claim = controller.replica.claims[0] ?: continue
+            assertEquals(NodeId("node-0"), claim.node)
+            if (claim.lease == 999L) {
+                old++
+                assertFalse(controller.ownership.isMine(claim))
+            }
+        }
+        assertTrue(old > 0, "the old claim was seen")
+        val claim = controller.replica.claims.getValue(0)
+        assertTrue(controller.ownership.isMine(claim) && claim.version > 1, "$claim")
+    }
+
+    private companion object {
+        const val STEP: Micros = 20 * MILLI
+    }
+}
--- a/src/test/kotlin/mintpick/sim/Rules.kt
+++ b/src/test/kotlin/mintpick/sim/Rules.kt
@@ -68,7 +68,7 @@
         }
     }
 
-    fun isSubmitted(job: String): Boolean = job in specs
+    fun spec(job: String): JobSpec? = specs[job]
 
     fun started(
         task: String,
--- a/src/test/kotlin/mintpick/sim/SimWorker.kt
+++ b/src/test/kotlin/mintpick/sim/SimWorker.kt
@@ -56,11 +56,21 @@
 
     /** Its reports leave, but answers and commands do not arrive. */
     var deaf = false
+
+    /** Starts that were sent to it while it heard nothing: when, and which. */
+    val missed = ArrayList<Pair<Micros, String>>()
     var noticeUs: Micros? = null
 
     /** Results are kept: a completed task that is started again is done as soon as it has its image. */
     private val results = HashSet<String>()
 
+    fun miss(
+        commands: List<Command>,
+        now: Micros,
+    ) {
+        commands.filter { it.verb == Verb.START }.forEach { missed += now to "${it.task} ${it.attempt}" }
+    }
+
     fun tick(now: Micros) {
         if (now - leaseFromUs > leaseUs) {
             kill(now)
--- a/src/test/kotlin/mintpick/sim/World.kt
+++ b/src/test/kotlin/mintpick/sim/World.kt
@@ -2,7 +2,6 @@
 
 import mintpick.config.Operators
 import mintpick.config.Settings
-import mintpick.core.JobId
 import mintpick.core.MILLI
 import mintpick.core.Micros
 import mintpick.core.SECOND
@@ -15,10 +14,7 @@
 import mintpick.net.Outcome
 import mintpick.net.Target
 import mintpick.wire.CommandBatch
-import mintpick.wire.JobAnswer
 import mintpick.wire.JobSpec
-import mintpick.wire.JobStage
-import mintpick.wire.JobStatus
 import mintpick.wire.ListedMachine
 import mintpick.wire.MachineListPage
 import mintpick.wire.MachineNames
@@ -58,6 +54,9 @@
         var events = 0L
             private set
 
+        /** This controller's present life. */
+        val name: String get() = "${settings.node} #$life"
+
         fun start() {
             engine = Engine(settings, Operators(), random.split())
             life++
@@ -118,13 +117,18 @@
 
     /** The two zones can't reach each other. */
     var zonesCut = false
+    /** Calls by the address of the machine that they were for. */
+    val callsTo = HashMap<String, Int>()
+
+    /** Names of rental requests, each with the lives of controllers that used it. */
+    val rentalNames = HashMap<String, MutableSet<String>>()
     private val lists = ArrayDeque<Pair<Micros, List<ListedMachine>>>()
     val rules =
         Rules(
             nodes[0].settings.cancelUs,
             nodes[0].settings.teams.associate { it.name to it.cpusMax },
         )
-    private val specs = HashMap<String, JobSpec>()
+    private val users = Users(this)
 
     fun after(
         delay: Micros,
@@ -162,13 +166,17 @@
 
     private fun hit(thousandths: Int): Boolean = thousandths > 0 && random.nextInt(1000) < thousandths
 
-    private fun delay(): Micros = MILLI + random.nextLong(4 * MILLI)
+    internal fun delay(): Micros = MILLI + random.nextLong(4 * MILLI)
 
     private fun perform(
         from: Node,
         call: Call,
         done: (Outcome) -> Unit,
     ) {
+        if (call.target is Target.Cloud && call.path == "/rentals") {
+            val request = WireJson.decodeFromString(RentalRequest.serializer(), requireNotNull(call.body).decodeToString())
+            rentalNames.getOrPut(request.request) { HashSet() } += from.name
+        }
         var open = true
         val end: (Outcome) -> Unit = { outcome ->
             if (open) {
@@ -219,6 +227,7 @@
                 if (!peer.deliver(Event.Hint(hint, ReplyTo { reply(it.status, it.body) }))) refused()
             }
             is Target.Worker -> {
+                callsTo.merge(target.address, 1, Int::plus)
                 val worker = workers.values.firstOrNull { it.address == target.address } ?: return
                 if (call.method == "GET") inspect(worker, reply) else command(worker, WireJson.decodeFromString(CommandBatch.serializer(), body.decodeToString()), reply)
             }
@@ -238,7 +247,8 @@
         batch: CommandBatch,
         reply: (Int, ByteArray) -> Unit,
     ) {
-        if (workers[worker.id] !== worker || worker.deaf) return
+        if (workers[worker.id] !== worker) return
+        if (worker.deaf) return worker.miss(batch.commands, now)
         // A hanging machine executes what it was sent when it carries on.
         if (now < worker.hangingUntilUs) return after(worker.hangingUntilUs - now + MILLI) { command(worker, batch, reply) }
         worker.tick(now)
@@ -340,7 +350,9 @@
                     Event.Report(
                         message,
                         ReplyTo { answer ->
-                            if (!hit(luck.lostAnswer) && !worker.deaf) {
+                            if (worker.deaf) {
+                                miss(worker, answer)
+                            } else if (!hit(luck.lostAnswer)) {
                                 after(delay()) {
                                     if (open && workers[worker.id] === worker && now >= worker.hangingUntilUs) {
                                         open = false
@@ -355,6 +367,13 @@
         }
     }
 
+    private fun miss(
+        worker: SimWorker,
+        answer: Answer,
+    ) {
+        if (answer.status == 200) worker.miss(WireJson.decodeFromString(ReportAnswer.serializer(), answer.body.decodeToString()).commands, now)
+    }
+
     /** A copy of an old report arrives; nobody reads the answer. */
     fun replay(
         message: MachineReport,
@@ -394,82 +413,9 @@
     fun user(
         spec: JobSpec,
         cancelAfterUs: Micros?,
-    ) {
-        specs[spec.id] = spec
-        rules.submitted(spec, now)
-        submit(spec)
-        if (cancelAfterUs != null) after(cancelAfterUs) { cancel(spec.id) }
-    }
+    ) = users.begin(spec, cancelAfterUs)
 
-    private fun submit(spec: JobSpec) {
-        ask({ Event.Submit(spec, it) }) { answer ->
-            rules.refused(spec.id, answer?.status ?: 0)
-            if (answer?.status in listOf(200, 201)) {
-                told(spec.id, answer)
-                poll(spec.id)
-                // Repeats may come at any later time.
-                if (random.nextInt(3) == 0) after(random.nextLong(20 * SECOND)) { resubmit(spec) }
-            } else {
-                after(SECOND) { submit(spec) }
-            }
-        }
-    }
-
-    private fun resubmit(spec: JobSpec) =
-        ask({ Event.Submit(spec, it) }) { answer ->
-            rules.refused(spec.id, answer?.status ?: 0)
-            if (answer?.status in listOf(200, 201)) told(spec.id, answer)
-        }
-
-    private fun poll(id: String) {
-        rules.asked(id, now)
-        ask({ Event.Poll(JobId(id), it) }) { answer ->
-            if (answer?.status == 200) rules.answered(id)
-            when (answer?.status) {
-                200 -> rules.told(id, WireJson.decodeFromString(JobStatus.serializer(), answer.body.decodeToString()).stage, now)
-                404 -> rules.told(id, null, now)
-                else -> Unit
-            }
-            after(2 * SECOND) { poll(id) }
-        }
-    }
-
-    fun pollUnknown(id: String) =
-        ask({ Event.Poll(JobId(id), it) }) { if (it?.status == 200) rules.told(id, JobStage.QUEUED, now) }
-
-    private fun cancel(id: String) {
-        if (!rules.isAccepted(id)) return after(SECOND) { cancel(id) }
-        rules.cancelRequested(id)
-        ask({ Event.Cancel(JobId(id), it) }) { answer ->
-            if (answer?.status == 200) told(id, answer) else after(SECOND) { cancel(id) }
-        }
-    }
-
-    private fun told(
-        id: String,
-        answer: Answer?,
-    ) {
-        val body = answer?.body?.decodeToString() ?: return
-        rules.told(id, WireJson.decodeFromString(JobAnswer.serializer(), body).stage, now)
-    }
-
-    private fun ask(
-        event: (ReplyTo) -> Event,
-        then: (Answer?) -> Unit,
-    ) {
-        val up = nodes.filter { it.engine != null }
-        if (up.isEmpty()) return after(SECOND) { then(null) }
-        var open = true
-        val end: (Answer?) -> Unit = {
-            if (open) {
-                open = false
-                then(it)
-            }
-        }
-        after(5 * SECOND) { end(null) }
-        val node = up[random.nextInt(up.size)]
-        after(delay()) { node.deliver(event(ReplyTo { answer -> after(delay()) { end(answer) } })) }
-    }
+    fun pollUnknown(id: String) = users.pollUnknown(id)
 
     override fun started(
         machine: SimWorker,
@@ -485,7 +431,7 @@
     ) = rules.left(task, completed)
 
     override fun runTimeUs(task: String): Micros? {
-        val spec = specs[task.substringBeforeLast('/')] ?: return null
+        val spec = rules.spec(task.substringBeforeLast('/')) ?: return null
         return if (spec.estimateS == 0.0) null else (spec.estimateS * SECOND).toLong()
     }
 
