--- a/src/main/kotlin/mintpick/core/Placement.kt
+++ b/src/main/kotlin/mintpick/core/Placement.kt
@@ -49,7 +49,18 @@
         /** Shapes that found no room at all in this pass: what needs as much need not look again. */
         private val missed = ArrayList<JobSpec>()
 
-        fun all(): List<Room> = slots.map { if (it.free === it.room.free) it.room else it.room.copy(free = it.free) }
+        /** Whether [count] tasks of [spec] could be on these machines, were they empty. */
+        fun couldHold(
+            spec: JobSpec,
+            count: Int,
+        ): Boolean {
+            var held = 0
+            for (slot in slots) {
+                if (allowed(spec, slot.room.type, slot.room.zone, slot.room.spot)) held += spec.demand.countIn(slot.room.total)
+                if (held >= count) return true
+            }
+            return false
+        }
 
         operator fun get(machine: MachineId): Room? = byMachine[machine]?.room
 
@@ -60,8 +71,8 @@
             byMachine[machine]?.let { it.free -= demand }
         }
 
-        /** Those of the rooms that [keep] picks. */
-        fun part(keep: (Room) -> Boolean): Rooms = Rooms(slots.filter { keep(it.room) })
+        /** These rooms and [more]; what is taken from one is taken from the other. */
+        fun with(more: Collection<Room>): Rooms = Rooms(sorted(slots + more.map { Slot(it, it.free) }))
 
         /** Up to [count] of the rooms, drawn at random. */
         fun some(
@@ -79,7 +90,9 @@
         internal fun isMissed(spec: JobSpec): Boolean = missed.any { (it.spot || !spec.spot) && it.demand.fits(spec.demand) }
 
         companion object {
-            fun of(rooms: Collection<Room>): Rooms = Rooms(rooms.sortedBy { it.free.dominantShare(it.total) }.map { Slot(it, it.free) })
+            fun of(rooms: Collection<Room>): Rooms = Rooms(sorted(rooms.map { Slot(it, it.free) }))
+
+            private fun sorted(slots: List<Slot>): List<Slot> = slots.sortedBy { it.free.dominantShare(it.room.total) }
         }
     }
 
--- a/src/main/kotlin/mintpick/engine/Caretaker.kt
+++ b/src/main/kotlin/mintpick/engine/Caretaker.kt
@@ -4,8 +4,8 @@
 import mintpick.core.MILLI
 import mintpick.core.MachineView
 import mintpick.core.Micros
+import mintpick.core.Resources
 import mintpick.core.SECOND
-import mintpick.core.isService
 import mintpick.wire.Retiring
 import mintpick.wire.TaskState
 
@@ -37,8 +37,8 @@
      * A machine that has fallen silent is returned, which proves it gone.
      */
     private fun giveUpSilent() {
-        val mine = fleet.views().filter { it.token > 0 && ownership.controls(it.id) && isMissed(it) }
         if (kernel.now - link.servingSinceUs < SETTLE) return
+        val mine = fleet.mine.mapNotNull(fleet::view).filter { it.token > 0 && ownership.controls(it.id) && isMissed(it) }
         val serving = mine.filterTo(HashSet(), ::servesUsers)
         // Asking hundreds of machines every second would cost more than what it finds out.
         val heartbeat = maxOf(HEARTBEAT, serving.size * SECOND / HEARTBEATS)
@@ -107,7 +107,7 @@
     private fun zoneOf(view: MachineView): String? = replica.machines[view.id]?.record?.zone
 
     private fun servesUsers(view: MachineView): Boolean =
-        replica.tasksOn(view.id).keys.any { replica.job(it.job)?.spec?.isService == true }
+        replica.servicesOn(view.id).cpus > Resources.EPSILON
 
     private fun silenceOf(view: MachineView): Micros = kernel.now - fleet.silentSince(view.id)
 
--- a/src/main/kotlin/mintpick/engine/Fleet.kt
+++ b/src/main/kotlin/mintpick/engine/Fleet.kt
@@ -68,6 +68,9 @@
 
     fun views(): Collection<MachineView> = views.values
 
+    /** Machines that are ours to command. */
+    val mine: Set<MachineId> get() = mineSince.keys
+
     /** Machines heard since the last call. */
     fun takeHeard(): Set<MachineId> = heard.toSet().also { heard.clear() }
 
@@ -355,18 +358,17 @@
         orders.clean()
         // Hundreds at once would keep users waiting: most confirm themselves with their next reports.
         var confirmations = 0
-        for (known in replica.machines.values) {
-            if (known.id !in mineSince) continue
-            val view = views[known.id]
-            val claim = ownership.control(known.id) ?: continue
-            if (view != null && view.needsHigherToken && kernel.now - view.heardUs < RECENT) ownership.raise(known.id, "lost-start")
+        for (id in mineSince.keys) {
+            val view = views[id]
+            val claim = ownership.control(id) ?: continue
+            if (view != null && view.needsHigherToken && kernel.now - view.heardUs < RECENT) ownership.raise(id, "lost-start")
             val unconfirmed = view?.latest == null || view.token < claim.version
-            if (unconfirmed && kernel.now >= (confirmAfter[known.id] ?: 0) && confirmations < MAX_CONFIRMATIONS) {
+            if (unconfirmed && kernel.now >= (confirmAfter[id] ?: 0) && confirmations < MAX_CONFIRMATIONS) {
                 confirmations++
-                confirmAfter[known.id] = kernel.now + CONFIRM_EVERY
-                push(known.id)
-            } else if (isUnreachable(known.id)) {
-                probe(known.id)
+                confirmAfter[id] = kernel.now + CONFIRM_EVERY
+                push(id)
+            } else if (isUnreachable(id)) {
+                probe(id)
             }
         }
     }
--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -40,8 +40,10 @@
         val changes: Changes,
         val draftOf: (JobId) -> Draft?,
         val mine: Placer.Rooms,
-        val wide: Placer.Rooms,
+        others: () -> List<Room>,
     ) {
+        /** Everybody's machines, which only the leader needs, and only for what no part can hold. */
+        val wide: Placer.Rooms by lazy { mine.with(others()) }
         val teams = HashMap<String, Resources>()
         val toBorrow = LinkedHashSet<MachineId>()
         var writes = 0
@@ -102,7 +104,7 @@
         // What was just observed moves in the same write; otherwise planning more often than this finds nothing new.
         val urgent = drafts.values.any { it.job.waiting > it.before.waiting }
         if (kernel.now < nextPassUs && !urgent) return
-        nextPassUs = kernel.now + if (replica.waitingJobs().size > FEW) PASS else PASS / 3
+        nextPassUs = kernel.now + passEvery(replica.waitingJobs().size)
         val waiting = LinkedHashMap<JobId, Job>()
         replica.waitingJobs().forEach { waiting[it.id] = it }
         drafts.values.forEach { if (it.job.waiting > 0) waiting[it.job.id] = it.job else waiting.remove(it.job.id) }
@@ -112,8 +114,7 @@
             lacksRoom = false
             return
         }
-        val wide = Placer.Rooms.of(rooms(changes))
-        val pass = Pass(changes, draftOf, wide.part { it.own }, wide)
+        val pass = Pass(changes, draftOf, Placer.Rooms.of(ownRooms(changes))) { othersRooms(changes) }
         pass.hurried = waiting.size > HURRY
         val budget = changes.budget()
         pass.parts = kernel.now >= nextPartsUs || budget >= plenty
@@ -146,6 +147,14 @@
         if (pass.toBorrow.isNotEmpty()) ownership.borrow(pass.toBorrow, fleet::push)
     }
 
+    /** The more wait, the less a pass more would find: writes are what is short then, and processor time is for answers. */
+    private fun passEvery(waiting: Int): Micros =
+        when {
+            waiting > HURRY -> PASS * 2
+            waiting > FEW -> PASS
+            else -> PASS / 3
+        }
+
     /**
      * Home places a job on its own part; the leader takes what no part can hold as a whole, from everybody's
      * machines. Exception: what its home has had no room for may be placed by another controller on its part,
@@ -158,7 +167,7 @@
         val home = ownership.home(job.id)
         val idle = kernel.now - (still[job.id]?.sinceUs ?: kernel.now)
         if (ownership.isLeader && isLarge(job, idle)) {
-            if (!holds(job, pass.mine)) return pass.wide
+            if (!pass.mine.couldHold(job.spec, job.waiting)) return pass.wide
         } else if (home == kernel.me) {
             return pass.mine
         }
@@ -179,19 +188,6 @@
         idle: Micros,
     ): Boolean = idle >= HELP_LATE && (job.spec.isGang || job.spec.oneZone || idle >= LARGE_AFTER)
 
-    /** Whether all of the job could be on these machines, were they empty. */
-    private fun holds(
-        job: Job,
-        rooms: Placer.Rooms,
-    ): Boolean {
-        var count = 0
-        for (room in rooms.all()) {
-            if (Placer.allowed(job.spec, room.type, room.zone, room.spot)) count += job.spec.demand.countIn(room.total)
-            if (count >= job.waiting) return true
-        }
-        return false
-    }
-
     private fun place(
         job: Job,
         rooms: Placer.Rooms,
@@ -230,7 +226,7 @@
         }
         machines.forEach { draft.guards += ownership.guards(it) }
         pass.writes += maxOf(1, draft.touched.size)
-        if (LOG.isDebugEnabled) LOG.debug("place job={} tasks={} machines={} wide={}", job.id.text, count, machines.size, rooms === pass.wide)
+        if (LOG.isDebugEnabled) LOG.debug("place job={} tasks={} machines={} wide={}", job.id.text, count, machines.size, rooms !== pass.mine)
         return count
     }
 
@@ -262,15 +258,20 @@
         return counts
     }
 
-    /** Room on our machines; for the leader on everybody's. */
-    private fun rooms(changes: Changes): List<Room> {
-        val hinted = if (ownership.isLeader) standing.hintedImages(kernel.settings.reportUs * 2) else emptyMap()
-        return replica.machines.values.mapNotNull { known ->
-            val claim = ownership.control(known.id) ?: return@mapNotNull null
-            val own = ownership.isMine(claim)
-            if (own || known.id in hinted) room(known, claim, own, hinted[known.id], changes) else null
+    private fun ownRooms(changes: Changes): List<Room> =
+        fleet.mine.mapNotNull { id ->
+            val known = replica.machines[id] ?: return@mapNotNull null
+            val claim = ownership.control(id)
+            if (claim != null && ownership.isMine(claim)) room(known, claim, true, null, changes) else null
+        }
+
+    /** Room on the other controllers' machines that they have heard from lately. */
+    private fun othersRooms(changes: Changes): List<Room> =
+        standing.hintedImages(kernel.settings.reportUs * 2).mapNotNull { (id, images) ->
+            val known = replica.machines[id] ?: return@mapNotNull null
+            val claim = ownership.control(id)
+            if (claim != null && !ownership.isMine(claim)) room(known, claim, false, images, changes) else null
         }
-    }
 
     private fun room(
         known: KnownMachine,
