Idle machines already marked are not picked again; ordinary ones go first

The leader returns a quarter of what is due in each round, but what it had marked stayed in the list until the mark was written, up to 7 s later, and was picked again; spot machines came first in that list although they cost a quarter.

--- a/src/main/kotlin/mintpick/engine/Roster.kt
+++ b/src/main/kotlin/mintpick/engine/Roster.kt
@@ -54,6 +54,9 @@
         nextTickUs = minOf(nextTickUs, kernel.now + GATHER)
     }
 
+    /** Whether [id] waits to be written down as one to be given up. */
+    fun isMarked(id: MachineId): Boolean = id in marks
+
     fun tick() {
         if (!link.serving || !link.reachable || kernel.now < nextTickUs) return
         nextTickUs = kernel.now + TICK
--- a/src/main/kotlin/mintpick/engine/Supply.kt
+++ b/src/main/kotlin/mintpick/engine/Supply.kt
@@ -195,10 +195,11 @@
         }
 
     private fun returnIdle(unused: Set<MachineId>) {
-        val idle = unused.mapNotNull { replica.machines[it] }.sortedBy { it.id.text }
+        // One whose mark waits to be written would be picked again and again, and keep the others from being returned.
+        val idle = unused.mapNotNull { replica.machines[it] }.filterNot { roster.isMarked(it.id) }.sortedBy { it.id.text }
         val (spot, ordinary) = idle.partition { it.record.spot }
         // Ordinary machines cost several times as much: beyond a few that may soon be wanted again they go early.
-        val due = (spot + ordinary.take(KEPT)).filter { isIdleFor(it, operators.idleUs) } + ordinary.drop(KEPT).filter { isIdleFor(it, operators.idleUs / EARLY) }
+        val due = ordinary.drop(KEPT).filter { isIdleFor(it, operators.idleUs / EARLY) } + (ordinary.take(KEPT) + spot).filter { isIdleFor(it, operators.idleUs) }
         due.take(maxOf(2, due.size / RETURN_PART)).forEach { roster.retire(it.id, Retiring.DRAIN, "idle") }
     }
 
--- a/src/test/kotlin/mintpick/sim/Conditions.kt
+++ b/src/test/kotlin/mintpick/sim/Conditions.kt
@@ -16,6 +16,8 @@
 data class Size(
     val machines: Int = 14,
     val listed: Int = 30,
+    /** Spot machines that the cloud has. */
+    val spot: Int = Int.MAX_VALUE,
 )
 
 /** What the stand-in for the cloud rents. */
--- a/src/test/kotlin/mintpick/sim/GrowthTest.kt
+++ b/src/test/kotlin/mintpick/sim/GrowthTest.kt
@@ -10,6 +10,24 @@
 
 /** What grows with the fleet and what must not, in counts: one state service's limits serve however many machines. */
 class GrowthTest {
+    /**
+     * Machines that were marked to be returned, with their marks still to be written, were picked again in each round:
+     * of four hundred idle ones the last were kept, and paid for, long after the first.
+     */
+    @Test
+    fun `the machines of a backlog go soon after it`() {
+        val world = World(52, Luck(), Size(machines = 400, spot = 40)) { Samples.settings(it) }
+        (1..40).forEach { n -> world.user(Samples.spec("req-%06d".format(n), team = "blue", tasks = 40, cpus = 2.0, estimateS = 20.0), null) }
+        var most = 0
+        for (second in 10..60) {
+            world.run(second * SECOND)
+            most = maxOf(most, world.workers.values.count { !it.spot })
+        }
+        assertTrue(most > 250, "$most ordinary machines for the backlog")
+        assertEquals(0, world.workers.values.count { !it.spot }, "ordinary machines left")
+        assertEquals(emptyList<String>(), world.rules.breaches.distinct().take(5))
+    }
+
     @Test
     fun `a thousand machines and hundreds of jobs stay within the state service's limits`() {
         val world = World(51, Luck(), Size(machines = 1000)) { Samples.settings(it) }
