--- a/src/test/kotlin/mintpick/sim/GuardsTest.kt
+++ b/src/test/kotlin/mintpick/sim/GuardsTest.kt
@@ -43,6 +43,13 @@
 
     private fun World.settled(): World = apply { run(60 * SECOND) }
 
+    /** A settled world with services that ask for no more. */
+    private fun serving(seed: Long): World =
+        world(seed).apply {
+            (1..6).forEach { n -> user(service(n), null) }
+            settled()
+        }
+
     private fun World.busiest(): SimWorker = workers.values.maxBy { rules.attemptsOn(it.id).size }
 
     /** Jobs whose records assign tasks to [machine]. */
@@ -51,16 +58,20 @@
 
     private fun World.replayEverywhere(report: MachineReport) = nodes.forEach { replay(report, it) }
 
-    /** Runs [check] for each machine of a settled world in turn, each time in a world of its own. */
+    /** Runs [check] for each machine of a settled world with a stream of short jobs in turn, each time in a world of its own. */
     private fun forEachMachine(
         seed: Long,
-        prepare: (World) -> Unit,
         check: (World, SimWorker) -> Unit,
     ) {
-        val names = world(seed).also(prepare).settled().workers.keys.toList()
+        val busy: () -> World = {
+            val world = world(seed)
+            (100..150).forEach { n -> world.after(50 * SECOND + (n - 100) * SECOND / 2) { world.user(batch(n, estimateS = 4.0), null) } }
+            world.settled()
+        }
+        val names = busy().workers.keys.toList()
         assertTrue(names.size > 1, "$names")
         for (name in names) {
-            val world = world(seed).also(prepare).settled()
+            val world = busy()
             check(world, world.workers.getValue(name))
         }
     }
@@ -69,10 +80,7 @@
     @Test
     fun `new work goes elsewhere once a call to a machine has failed`() {
         var sent = 0
-        val flood: (World) -> Unit = { world ->
-            (100..150).forEach { n -> world.after(50 * SECOND + (n - 100) * SECOND / 2) { world.user(batch(n, estimateS = 4.0), null) } }
-        }
-        forEachMachine(61, flood) { world, deaf ->
+        forEachMachine(61) { world, deaf ->
             world.cloudOut = true
             deaf.deaf = true
             // A call that fails has failed after a second and a half.
@@ -90,10 +98,7 @@
     /** `Caretaker.isOneWay`: its reports to the others speak for a machine that hears nobody. */
     @Test
     fun `a machine that hears nothing is returned before its lease is over`() {
-        val flood: (World) -> Unit = { world ->
-            (100..150).forEach { n -> world.after(50 * SECOND + (n - 100) * SECOND / 2) { world.user(batch(n, estimateS = 4.0), null) } }
-        }
-        forEachMachine(62, flood) { world, deaf ->
+        forEachMachine(62) { world, deaf ->
             deaf.deaf = true
             world.run(75 * SECOND)
             assertFalse(deaf.id in world.workers && deaf.missed.isNotEmpty(), deaf.id)
@@ -103,9 +108,7 @@
     /** `MachineView.awaits`: answering a copy counted as renewing the lease, so what a dead machine held never moved. */
     @Test
     fun `copies of a report do not keep a lapsed machine's work from moving`() {
-        val world = world(63)
-        (1..6).forEach { n -> world.user(service(n), null) }
-        world.settled()
+        val world = serving(63)
         val silent = world.busiest()
         val held = world.rules.attemptsOn(silent.id)
         val copy = silent.report(world.now)
@@ -122,9 +125,7 @@
     /** `Fleet.isConfirmed`: a controller that had just started took a copy for a new machine, and wrote it down. */
     @Test
     fun `copies make no record of a machine that is gone`() {
-        val world = world(64)
-        (1..6).forEach { n -> world.user(service(n), null) }
-        world.settled()
+        val world = serving(64)
         val gone = world.busiest()
         val copies = List(4) { gone.report(world.now) }
         world.remove(gone.id)
@@ -141,9 +142,7 @@
     /** `Orders.isNoticed`: the notice in a copy drained a machine that nobody was to take. */
     @Test
     fun `a notice in a copy empties nothing`() {
-        val world = world(65)
-        (1..6).forEach { n -> world.user(service(n), null) }
-        world.settled()
+        val world = serving(65)
         val machine = world.busiest()
         machine.noticeUs = world.now + 20 * SECOND
         val copy = machine.report(world.now)
@@ -161,9 +160,7 @@
     /** `Fleet.bury`: copies made a view of a dead machine again, which was then asked again and again. */
     @Test
     fun `nobody calls a machine that is gone because of copies`() {
-        val world = world(66)
-        (1..6).forEach { n -> world.user(service(n), null) }
-        world.settled()
+        val world = serving(66)
         val gone = world.busiest()
         val copies = List(15) { gone.report(world.now) }
         world.remove(gone.id)
@@ -178,9 +175,7 @@
     /** `Fleet.adopt` asks the machine first: copies alone once looked like a worker that keeps coming, and were adopted. */
     @Test
     fun `copies make no claim`() {
-        val world = world(67)
-        (1..6).forEach { n -> world.user(service(n), null) }
-        world.settled()
+        val world = serving(67)
         val silent = world.busiest()
         val copies = List(15) { silent.report(world.now) }
         silent.hangingUntilUs = 1000 * SECOND
