Reports are evidence that a zone is reached: waves of hangs in small fleets

Reports from the zone show as well that it is reached, and in the cut for which the doubt was made none come.

--- a/src/main/kotlin/mintpick/engine/Fleet.kt
+++ b/src/main/kotlin/mintpick/engine/Fleet.kt
@@ -112,7 +112,10 @@
         return isUnreachable(machine) || kernel.now - view.heardUs > kernel.settings.reportUs * 5 / 4 + LATE
     }
 
-    /** When a call of ours last got through to a machine in [zone]. */
+    /**
+     * When a call of ours last got through to a machine in [zone], or a report from there to us: with few machines a wave
+     * of hangs may leave none that we call often.
+     */
     fun reachedIn(zone: String?): Micros = reachedUs[zone] ?: 0
 
     /**
@@ -148,6 +151,8 @@
         val awaited = view.awaits(report)
         val fresh = view.take(report, kernel.now, direct = false)
         if (fresh) learn(view, report)
+        // In a cut from the workers neither calls nor reports get through.
+        if (awaited) reachedUs[report.zone] = kernel.now
         if (awaited && isUnserved(id)) {
             adopt(view, report, reply)
         } else {
