--- a/src/main/kotlin/mintpick/cli/Rehearsal.kt
+++ b/src/main/kotlin/mintpick/cli/Rehearsal.kt
@@ -77,17 +77,17 @@
             Triple(
                 "POST",
                 "/api/jobs",
-                """{"id":"req-000001","sort":"s","crew":"t","shape":"array","rank":"normal","pieces":2,"vcpus":1.0,"cards":0.0,"mem_gb":1.0,""" +
-                    """"bundle":"i","pull_gb":1.0,"breeds":null,"plot":null,"together":false,"spread":false,"windfall":true,"guess_s":5.0,""" +
-                    """"mark_every_s":0.0,"mark_cost_s":0.0,"due_s":null}""",
+                """{"id":"req-000001","sort":"s","crew":"t","shape":"array","rank":"normal","pieces":2,""" +
+                    """"vcpus":1.0,"cards":0.0,"mem_gb":1.0,"bundle":"i","pull_gb":1.0,"breeds":null,"plot":null,""" +
+                    """"together":false,"spread":false,"windfall":true,"guess_s":5.0,"mark_every_s":0.0,"mark_cost_s":0.0,"due_s":null}""",
             ),
             Triple("GET", "/api/jobs/req-000001", null),
             Triple("POST", "/api/jobs/req-000002/cancel", ""),
             Triple(
                 "POST",
                 "/checkin",
-                """{"picker":"host-000001","endpoint":"127.0.0.1:1","breed":"m","plot":"z","windfall":true,"shift":1,"tally":1,"baton":0,""" +
-                    """"warning_s":null,"pieces":[]}""",
+                """{"picker":"host-000001","endpoint":"127.0.0.1:1","breed":"m","plot":"z","windfall":true,"shift":1,"tally":1,""" +
+                    """"baton":0,"warning_s":null,"pieces":[]}""",
             ),
         )
 
--- a/src/main/kotlin/mintpick/cloud/CloudProtocol.kt
+++ b/src/main/kotlin/mintpick/cloud/CloudProtocol.kt
@@ -35,8 +35,7 @@
 
     fun types() = Call(target, "GET", "/machine_types", timeoutUs = TIMEOUT)
 
-    fun list(after: String?) =
-        Call(target, "GET", "/rentals?${if (after == null) "" else "since=$after&"}limit=$PAGE", timeoutUs = TIMEOUT)
+    fun list(after: String?) = Call(target, "GET", "/rentals?${if (after == null) "" else "since=$after&"}limit=$PAGE", timeoutUs = TIMEOUT)
 
     fun rent(request: RentalRequest) = Call(target, "POST", "/rentals", encode(RentalRequest.serializer(), request), TIMEOUT)
 
--- a/src/main/kotlin/mintpick/config/Settings.kt
+++ b/src/main/kotlin/mintpick/config/Settings.kt
@@ -176,7 +176,13 @@
             if (file.node.isBlank()) throw ConfigException("node: empty")
             if (body.zones.isEmpty()) throw ConfigException("settings.zones: empty")
             if (body.state.transactionOps < 1) throw ConfigException("settings.state.txn_ops: must be at least 1")
-            if (body.teams.map { it.name }.toSet().size != body.teams.size) throw ConfigException("settings.teams: a name stands twice")
+            if (body.teams
+                    .map { it.name }
+                    .toSet()
+                    .size != body.teams.size
+            ) {
+                throw ConfigException("settings.teams: a name stands twice")
+            }
             body.teams.forEach { team ->
                 listOf(team.cpus, team.cpusMax, team.gpus, team.gpusMax).forEach {
                     if (!it.isFinite() || it < 0) throw ConfigException("settings.teams: ${team.name}: not an amount")
--- a/src/main/kotlin/mintpick/core/Demand.kt
+++ b/src/main/kotlin/mintpick/core/Demand.kt
@@ -84,7 +84,14 @@
                 // What may use spot machines leaves ordinary ones to what may not.
                 if (want.spec.spot) left = fill(want.spec, left, bins, counts) { it.offer.spot }
                 if (!want.spec.spot || !want.spare) left = fill(want.spec, left, bins, counts) { true }
-                if (left > 0 && !want.spare && counts.values.sum() == 0 && want.spec.types == null && want.spec.zone == null) missed += want.spec
+                if (left > 0 &&
+                    !want.spare &&
+                    counts.values.sum() == 0 &&
+                    want.spec.types == null &&
+                    want.spec.zone == null
+                ) {
+                    missed += want.spec
+                }
             }
             left = fill(want.spec, left, fresh, counts) { true }
             while (left > 0) {
--- a/src/main/kotlin/mintpick/core/MachineView.kt
+++ b/src/main/kotlin/mintpick/core/MachineView.kt
@@ -84,7 +84,11 @@
         direct: Boolean,
     ): Boolean {
         val before = latest
-        if (before != null && (report.session < before.session || (report.session == before.session && report.seq <= before.seq))) return false
+        if (before != null &&
+            (report.session < before.session || (report.session == before.session && report.seq <= before.seq))
+        ) {
+            return false
+        }
         latest = report
         heardUs = now
         if (!direct) reportedUs = now
--- a/src/main/kotlin/mintpick/core/Model.kt
+++ b/src/main/kotlin/mintpick/core/Model.kt
@@ -57,8 +57,7 @@
 
     operator fun times(factor: Double) = Resources(cpus * factor, gpus * factor, memoryGb * factor)
 
-    fun fits(room: Resources): Boolean =
-        cpus <= room.cpus + EPSILON && gpus <= room.gpus + EPSILON && memoryGb <= room.memoryGb + EPSILON
+    fun fits(room: Resources): Boolean = cpus <= room.cpus + EPSILON && gpus <= room.gpus + EPSILON && memoryGb <= room.memoryGb + EPSILON
 
     /** How many tasks of this size [room] holds. */
     fun countIn(room: Resources): Int {
@@ -200,7 +199,8 @@
     }
 
     /** The chunk as edited so far; the version stays that of what was edited. */
-    fun build(): Chunk = if (changed) Chunk(before.version, before.size, HashMap(placed), finished.clone() as BitSet, HashMap(attempts)) else before
+    fun build(): Chunk =
+        if (changed) Chunk(before.version, before.size, HashMap(placed), finished.clone() as BitSet, HashMap(attempts)) else before
 }
 
 /** A job that is not final, or is cancelled with tasks still to be seen gone. */
--- a/src/main/kotlin/mintpick/core/Placement.kt
+++ b/src/main/kotlin/mintpick/core/Placement.kt
@@ -142,7 +142,12 @@
             for (i in slots.indices) {
                 val slot = slots[(start + i) % slots.size]
                 val room = slot.room
-                if (room.spot != spot || !allowed(spec, room.type, room.zone, room.spot) || (onlyZone != null && room.zone != onlyZone)) continue
+                if (room.spot != spot ||
+                    !allowed(spec, room.type, room.zone, room.spot) ||
+                    (onlyZone != null && room.zone != onlyZone)
+                ) {
+                    continue
+                }
                 val count = spec.demand.countIn(slot.free)
                 if (count == 0) continue
                 found += slot to count
@@ -190,7 +195,14 @@
         limit: Int,
     ): List<MachineId> {
         val queues =
-            found.groupBy { it.first.room.zone }.mapValues { (_, inZone) -> ArrayDeque(inZone.map { (slot, count) -> slot.room.machine to count }) }
+            found.groupBy { it.first.room.zone }.mapValues { (_, inZone) ->
+                ArrayDeque(
+                    inZone.map { (slot, count) ->
+                        slot.room.machine to
+                            count
+                    },
+                )
+            }
         val picks = ArrayList<MachineId>()
         while (picks.size < limit) {
             val (zone, queue) =
--- a/src/main/kotlin/mintpick/engine/Accounting.kt
+++ b/src/main/kotlin/mintpick/engine/Accounting.kt
@@ -138,7 +138,13 @@
             fundedJobs =
                 teams.flatMapTo(HashSet()) { team ->
                     val jobs = byTeam[team.name].orEmpty().sortedWith(compareBy<Job> { it.submittedUs }.thenBy { it.id.text })
-                    Contract.funded(Resources(team.cpus, team.gpus, 0.0), jobs.map { it.id to it.spec.demand * (it.spec.tasks - it.done).toDouble() })
+                    Contract.funded(
+                        Resources(team.cpus, team.gpus, 0.0),
+                        jobs.map {
+                            it.id to
+                                it.spec.demand * (it.spec.tasks - it.done).toDouble()
+                        },
+                    )
                 }
         }
         return job in fundedJobs
--- a/src/main/kotlin/mintpick/engine/Capacity.kt
+++ b/src/main/kotlin/mintpick/engine/Capacity.kt
@@ -11,7 +11,6 @@
 import mintpick.wire.RentalRequest
 import mintpick.wire.RentalStage
 import mintpick.wire.Retiring
-import mintpick.wire.WireJson
 import org.slf4j.LoggerFactory
 
 /**
@@ -34,6 +33,7 @@
     )
 
     private val protocol = CloudProtocol(kernel.settings.cloud.toString())
+
     /** The leader alone rents and returns; lists, which every controller needs, have a part of the limit of their own. */
     private val requests = Bucket(kernel.settings.cloudRps * RENT_PART, maxOf(1.0, kernel.settings.cloudRps * RENT_PART * 2))
     private val lists =
@@ -116,7 +116,13 @@
                 before += result.value.machines
                 if (result.value.more && result.value.machines.isNotEmpty()) {
                     lists.force(kernel.now, 1.0)
-                    page(result.value.machines.last().id, before, startedUs)
+                    page(
+                        result.value.machines
+                            .last()
+                            .id,
+                        before,
+                        startedUs,
+                    )
                 } else {
                     listed(before, startedUs)
                     endList(if (ownership.isLeader) LIST_EVERY else LIST_EVERY * 2)
@@ -175,7 +181,15 @@
             // Names of requests are never used again: not by us, nor by another process with our name.
             val name = "${kernel.me.text}-$incarnation-${++rentals}"
             val request = RentalRequest(name, offer.type, offer.zone, offer.spot, minOf(left, CloudProtocol.MAX_RENT))
-            LOG.info("rent request={} type={} zone={} spot={} count={} reason={}", name, offer.type, offer.zone, offer.spot, request.count, reason)
+            LOG.info(
+                "rent request={} type={} zone={} spot={} count={} reason={}",
+                name,
+                offer.type,
+                offer.zone,
+                offer.spot,
+                request.count,
+                reason,
+            )
             left -= request.count
             pendingRentals[name] = request
             send(request)
--- a/src/main/kotlin/mintpick/engine/Caretaker.kt
+++ b/src/main/kotlin/mintpick/engine/Caretaker.kt
@@ -61,7 +61,11 @@
             // Others there fail with it and no call has got through since: then it may be we who do not reach them. Cut off
             // from its workers alone, a leader once returned 72 live machines within seconds, those of the services first.
             val alike = (failingIn[zoneOf(view)] ?: 0) > 1 && fleet.reachedIn(zoneOf(view)) < failing
-            if (kernel.now - since > doubt(view, many || alike, peersHeard)) roster.retire(view.id, Retiring.NOW, if (oneWay) "one-way" else "silent")
+            if (kernel.now - since >
+                doubt(view, many || alike, peersHeard)
+            ) {
+                roster.retire(view.id, Retiring.NOW, if (oneWay) "one-way" else "silent")
+            }
         }
     }
 
@@ -69,7 +73,8 @@
      * After a cut machines are asked again before they are judged: once all that a zone had were given up the moment the
      * first of its controllers was heard again, for calls that had failed in the cut.
      */
-    private fun isOpen(view: MachineView): Boolean = standing.openSince(zoneOf(view))?.let { it == 0L || kernel.now - it > patience } ?: false
+    private fun isOpen(view: MachineView): Boolean =
+        standing.openSince(zoneOf(view))?.let { it == 0L || kernel.now - it > patience } ?: false
 
     /** One that is on its way back to the cloud with nothing left on it is gone before its record is. */
     private fun isMissed(view: MachineView): Boolean {
@@ -120,8 +125,7 @@
 
     private fun zoneOf(view: MachineView): String? = replica.machines[view.id]?.record?.zone
 
-    private fun servesUsers(view: MachineView): Boolean =
-        replica.servicesOn(view.id).cpus > Resources.EPSILON
+    private fun servesUsers(view: MachineView): Boolean = replica.servicesOn(view.id).cpus > Resources.EPSILON
 
     private fun silenceOf(view: MachineView): Micros = kernel.now - fleet.silentSince(view.id)
 
--- a/src/main/kotlin/mintpick/engine/Changes.kt
+++ b/src/main/kotlin/mintpick/engine/Changes.kt
@@ -41,7 +41,10 @@
     /** Room taken by placements that are on their way to the state service: the records do not show it yet. */
     private val reserved = HashMap<MachineId, Resources>()
 
-    private val limitedTeams = kernel.settings.teams.filter { it.cpusMax > 0 || it.gpusMax > 0 }.mapTo(HashSet()) { it.name }
+    private val limitedTeams =
+        kernel.settings.teams
+            .filter { it.cpusMax > 0 || it.gpusMax > 0 }
+            .mapTo(HashSet()) { it.name }
     private val replica get() = kernel.replica
     private val ops = kernel.settings.limits.transactionOps
 
@@ -85,7 +88,10 @@
             pending.taken = true
             val write = Write(Keys.job(id.text), RecordCodec.jobJson(job))
             stored +=
-                Part(id, setOf(Guard(write.key, 0)), listOf(write), emptyList(), size(write), { desk.submitted(id) }) { pending.taken = false }
+                Part(id, setOf(Guard(write.key, 0)), listOf(write), emptyList(), size(write), { desk.submitted(id) }) {
+                    pending.taken =
+                        false
+                }
         }
         // Apart from drafts, whose conflicts must not hold them up.
         send(stored, 0)
--- a/src/main/kotlin/mintpick/engine/Draft.kt
+++ b/src/main/kotlin/mintpick/engine/Draft.kt
@@ -24,7 +24,8 @@
     val placed = ArrayList<Pair<AttemptId, MachineId>>()
     val changed: Boolean get() = stage != before.stage || edits.values.any { it.changed }
 
-    private fun build(): Job = edits.entries.fold(before.with(stage = stage)) { job, (index, edit) -> job.with(chunk = index to edit.build()) }
+    private fun build(): Job =
+        edits.entries.fold(before.with(stage = stage)) { job, (index, edit) -> job.with(chunk = index to edit.build()) }
 
     /** The chunk of [task]; null if it is one too many for a transaction: what is left out is planned again after it. */
     private fun edit(task: Int): ChunkEdit? {
--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -93,7 +93,10 @@
             is Event.Report -> fleet.onReport(event.report, event.reply)
             is Event.Hint -> {
                 standing.onHint(event.hint)
-                kernel.send(event.reply, Answer(OK, MeshProtobuf.encodeToByteArray(PeerHint.serializer(), ownHint(withMachines = false)), null, PROTOBUF))
+                kernel.send(
+                    event.reply,
+                    Answer(OK, MeshProtobuf.encodeToByteArray(PeerHint.serializer(), ownHint(withMachines = false)), null, PROTOBUF),
+                )
             }
             is Event.Inspect -> kernel.send(event.reply, Answer.json(OK, WireJson.encodeToString(NodeStatus.serializer(), status())))
             is Event.CallDone -> kernel.callDone(event.id, event.outcome)
@@ -106,8 +109,16 @@
             node = settings.node,
             phase = link.phase.name.lowercase(),
             leader = replica.leader?.node?.text,
-            shards = replica.claims.filterValues(ownership::isMine).keys.sorted(),
-            borrowed = replica.borrows.filterValues(ownership::isMine).keys.map { it.text },
+            shards =
+                replica.claims
+                    .filterValues(ownership::isMine)
+                    .keys
+                    .sorted(),
+            borrowed =
+                replica.borrows
+                    .filterValues(ownership::isMine)
+                    .keys
+                    .map { it.text },
             machines = replica.machines.size,
             jobs = replica.jobs.size,
             waitingTasks = replica.jobs.sumOf { it.waiting },
@@ -186,8 +197,11 @@
 
     private fun heardMachines(): List<MachineView> =
         fleet.views().filter { view ->
-            view.latest != null && kernel.now - view.reportedUs < settings.reportUs * 2 && fleet.errorsOn(view.id) == 0 &&
-                !fleet.isUnreachable(view.id) && !orders.isEmptying(view, ownership.control(view.id))
+            view.latest != null &&
+                kernel.now - view.reportedUs < settings.reportUs * 2 &&
+                fleet.errorsOn(view.id) == 0 &&
+                !fleet.isUnreachable(view.id) &&
+                !orders.isEmptying(view, ownership.control(view.id))
         }
 
     companion object {
--- a/src/main/kotlin/mintpick/engine/Fleet.kt
+++ b/src/main/kotlin/mintpick/engine/Fleet.kt
@@ -215,7 +215,11 @@
     private fun answer(
         claim: Claim,
         commands: List<Command>,
-    ) = Answer(OK, WireJson.encodeToString(ReportAnswer.serializer(), ReportAnswer(claim.version, commands)).encodeToByteArray(), closes = isCrowded())
+    ) = Answer(
+        OK,
+        WireJson.encodeToString(ReportAnswer.serializer(), ReportAnswer(claim.version, commands)).encodeToByteArray(),
+        closes = isCrowded(),
+    )
 
     /**
      * Workers keep up to two fifths of the sockets; with more of them than that, some come anew with each report, so that
--- a/src/main/kotlin/mintpick/engine/Observer.kt
+++ b/src/main/kotlin/mintpick/engine/Observer.kt
@@ -152,7 +152,8 @@
                 Proof.Completed -> done[task] = attempt
                 is Proof.Over -> {
                     // Absent and still wanted here: it will be sent again, which is quicker than another assignment.
-                    val wanted = proof.cause == null && job.stage == StoredStage.OPEN && !orders.isEmptying(view, claim) && id !in orders.stopping
+                    val wanted =
+                        proof.cause == null && job.stage == StoredStage.OPEN && !orders.isEmptying(view, claim) && id !in orders.stopping
                     if (wanted) continue
                     over[task] = attempt
                     absent = absent || proof.cause == null
@@ -169,7 +170,13 @@
         val id = draft.before.id
         for (machine in machinesOf[id].orEmpty()) {
             val known = facts[machine] ?: continue
-            for ((task, attempt) in known.done) if (task.job == id && draft.before.placement(task.index) == Placement(machine, attempt)) draft.finish(task.index)
+            for ((task, attempt) in known.done) {
+                if (task.job == id &&
+                    draft.before.placement(task.index) == Placement(machine, attempt)
+                ) {
+                    draft.finish(task.index)
+                }
+            }
             for ((task, attempt) in known.over) {
                 if (task.job != id) continue
                 draft.requeue(task.index, Placement(machine, attempt))
--- a/src/main/kotlin/mintpick/engine/Ownership.kt
+++ b/src/main/kotlin/mintpick/engine/Ownership.kt
@@ -98,7 +98,10 @@
         val borrow = replica.borrows[machine]
         if (borrow != null) return listOf(Guard(Keys.borrow(machine.text), borrow.version))
         val shard = shard(machine) ?: return emptyList()
-        return listOf(Guard(Keys.shard(shard), replica.claims[shard]?.version ?: 0), Guard(Keys.epoch(shard), replica.version(Keys.epoch(shard))))
+        return listOf(
+            Guard(Keys.shard(shard), replica.claims[shard]?.version ?: 0),
+            Guard(Keys.epoch(shard), replica.version(Keys.epoch(shard))),
+        )
     }
 
     fun tick() {
--- a/src/main/kotlin/mintpick/engine/Preemptor.kt
+++ b/src/main/kotlin/mintpick/engine/Preemptor.kt
@@ -118,7 +118,11 @@
         if (job.stage != StoredStage.OPEN) return false
         val spec = job.spec
         val type = replica.machines[job.placement(attempt.task.index)?.machine]?.record?.type
-        val fetch = replica.types[type]?.fetchGbPerS?.takeIf { it > 0 }?.let { (spec.imageGb / it * SECOND).toLong() } ?: 0
+        val fetch =
+            replica.types[type]
+                ?.fetchGbPerS
+                ?.takeIf { it > 0 }
+                ?.let { (spec.imageGb / it * SECOND).toLong() } ?: 0
         val window = Contract.minimumRuntime(spec, fetch, operators.minimumRuntimeCapUs)
         val expired = kernel.now - (seenSince[attempt] ?: kernel.now) > window
         val over = accounting.isOverShare(spec.team)
--- a/src/main/kotlin/mintpick/engine/Replica.kt
+++ b/src/main/kotlin/mintpick/engine/Replica.kt
@@ -159,7 +159,13 @@
         version: Long,
     ) {
         if (subject is Keys.Subject.Shard || subject is Keys.Subject.Borrow) claimEpoch++
-        if (subject is Keys.Subject.Shard || subject is Keys.Subject.Borrow || subject is Keys.Subject.Fleet || subject is Keys.Subject.Machine) controlEpoch++
+        if (subject is Keys.Subject.Shard ||
+            subject is Keys.Subject.Borrow ||
+            subject is Keys.Subject.Fleet ||
+            subject is Keys.Subject.Machine
+        ) {
+            controlEpoch++
+        }
         when (subject) {
             is Keys.Subject.Job -> applyJob(JobId(subject.id), value, version)
             is Keys.Subject.Chunk -> applyChunk(subject, value, version)
@@ -174,7 +180,12 @@
             is Keys.Subject.Fleet -> applyFleet(subject.part, value)
             Keys.Subject.Epoch -> Unit
             is Keys.Subject.Node -> set(nodes, NodeId(subject.node), value) { WireJson.decodeFromJsonElement(NodeRecord.serializer(), it) }
-            is Keys.Subject.Usage -> set(usage, NodeId(subject.node), value) { WireJson.decodeFromJsonElement(UsageRecord.serializer(), it) }
+            is Keys.Subject.Usage ->
+                set(
+                    usage,
+                    NodeId(subject.node),
+                    value,
+                ) { WireJson.decodeFromJsonElement(UsageRecord.serializer(), it) }
             is Keys.Subject.Team -> Unit
             Keys.Subject.Leader -> leader = value?.let { claim(it, version) }
             Keys.Subject.Types -> if (value != null) types = decodeTypes(value).associateBy { it.name }
@@ -280,7 +291,11 @@
                 servicesByMachine.remove(at.machine)
             } else {
                 usedByMachine[at.machine] = usedOn(at.machine) + demand * sign.toDouble()
-                if (job.spec.isService || job.spec.isProduction) servicesByMachine[at.machine] = servicesOn(at.machine) + demand * sign.toDouble()
+                if (job.spec.isService ||
+                    job.spec.isProduction
+                ) {
+                    servicesByMachine[at.machine] = servicesOn(at.machine) + demand * sign.toDouble()
+                }
             }
         }
         if (count > 0) usedByTeam[job.spec.team] = usedBy(job.spec.team) + demand * (sign * count).toDouble()
--- a/src/main/kotlin/mintpick/engine/Roster.kt
+++ b/src/main/kotlin/mintpick/engine/Roster.kt
@@ -73,14 +73,22 @@
                 .filter { observer.isGone(it.id) && replica.tasksOn(it.id).isEmpty() }
                 .groupBy { ownership.part(it.id.text) }
         // Only its controller judges a machine to be lost: another's silence says nothing.
-        marks.entries.removeIf { (id, mark) -> id !in replica.machines || observer.isGone(id) || (mark.how == Retiring.NOW && !ownership.controls(id)) }
+        marks.entries.removeIf { (id, mark) ->
+            id !in replica.machines ||
+                observer.isGone(id) ||
+                (mark.how == Retiring.NOW && !ownership.controls(id))
+        }
         val marked = marks.entries.groupBy { ownership.part(it.key.text) }
         for (part in added.keys + marked.keys + dropped.keys) {
             val hurry = marked[part].orEmpty().any { it.value.how == Retiring.NOW }
             if (part in busy || (!hurry && kernel.now < (nextUs[part] ?: 0)) || link.writesAllowed() < 1) continue
             // Gone machines harm nobody by being listed: they alone are reason enough only now and then.
             if (part !in added && part !in marked && kernel.now < (nextUs[part] ?: 0) + DROP_WAIT) continue
-            if (hurry) writes.force(kernel.now, 1.0) else if (!writes.take(kernel.now, 1.0)) continue
+            if (hurry) {
+                writes.force(kernel.now, 1.0)
+            } else if (!writes.take(kernel.now, 1.0)) {
+                continue
+            }
             store(part, added[part].orEmpty(), marked[part].orEmpty().associate { it.key to it.value }, dropped[part].orEmpty())
         }
     }
--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -232,7 +232,15 @@
         }
         machines.forEach { draft.guards += ownership.guards(it) }
         pass.writes += maxOf(1, draft.touched.size)
-        if (LOG.isDebugEnabled) LOG.debug("place job={} tasks={} machines={} wide={}", job.id.text, count, machines.size, rooms !== pass.mine)
+        if (LOG.isDebugEnabled) {
+            LOG.debug(
+                "place job={} tasks={} machines={} wide={}",
+                job.id.text,
+                count,
+                machines.size,
+                rooms !== pass.mine,
+            )
+        }
         return count
     }
 
@@ -308,7 +316,11 @@
 
     /** In touch both ways: nothing is placed where commands may not arrive, however many reports come. */
     private fun isUsable(view: mintpick.core.MachineView?): Boolean =
-        view != null && fleet.isConfirmed(view) && fleet.isFresh(view) && !fleet.isUnreachable(view.id) && fleet.errorsOn(view.id) < MAX_ERRORS
+        view != null &&
+            fleet.isConfirmed(view) &&
+            fleet.isFresh(view) &&
+            !fleet.isUnreachable(view.id) &&
+            fleet.errorsOn(view.id) < MAX_ERRORS
 
     companion object {
         private val LOG = org.slf4j.LoggerFactory.getLogger(Scheduling::class.java)
--- a/src/main/kotlin/mintpick/engine/Standing.kt
+++ b/src/main/kotlin/mintpick/engine/Standing.kt
@@ -75,7 +75,12 @@
         val gap = since - maxOf(served, sharedUntil)
         // A peer that has started anew can't say when it was served: it must have been heard all the time.
         val told = gap < FRESH || heard.all { it.hint.stateAgeUs >= 0 }
-        if (told && kernel.now - since < FRESH && heard.none { it.atUs - it.hint.stateAgeUs > served + HAND_OVER_AGE && it.hint.stateAgeUs >= 0 }) sharedUntil = since
+        if (told &&
+            kernel.now - since < FRESH &&
+            heard.none { it.atUs - it.hint.stateAgeUs > served + HAND_OVER_AGE && it.hint.stateAgeUs >= 0 }
+        ) {
+            sharedUntil = since
+        }
     }
 
     /** Whether another controller has told us, since the state service last served us, that [job] was called off. */
--- a/src/main/kotlin/mintpick/engine/StateLink.kt
+++ b/src/main/kotlin/mintpick/engine/StateLink.kt
@@ -283,7 +283,13 @@
         val lease = lease
         val wire =
             changes.map {
-                if (it.value == null) Change(delete = it.key) else Change(put = it.key, value = it.value, lease = if (it.leased) lease else null)
+                if (it.value ==
+                    null
+                ) {
+                    Change(delete = it.key)
+                } else {
+                    Change(put = it.key, value = it.value, lease = if (it.leased) lease else null)
+                }
             }
         requests.force(kernel.now, 1.0)
         writes.force(kernel.now, changes.size.toDouble())
--- a/src/main/kotlin/mintpick/engine/Supply.kt
+++ b/src/main/kotlin/mintpick/engine/Supply.kt
@@ -60,7 +60,9 @@
         val rooms = rooms()
         val plan = shopper.plan(rooms, (waiting(rooms) + expected()).sortedBy { !it.spec.isService }, MAX_NEW)
         // The most needed first: requests are few.
-        plan.rent.entries.sortedByDescending { it.value }.forEach { (offer, count) -> capacity.rent(offer, count, "demand") }
+        plan.rent.entries
+            .sortedByDescending { it.value }
+            .forEach { (offer, count) -> capacity.rent(offer, count, "demand") }
         if (plan.rent.isEmpty()) returnIdle(plan.unused)
     }
 
@@ -97,7 +99,11 @@
         }
         for ((name, seen) in classes) {
             seen.history.addLast(kernel.now to (wanted[name] ?: 0))
-            while (seen.history.isNotEmpty() && kernel.now - seen.history.first().first > operators.batchMemoryUs) seen.history.removeFirst()
+            while (seen.history.isNotEmpty() &&
+                kernel.now - seen.history.first().first > operators.batchMemoryUs
+            ) {
+                seen.history.removeFirst()
+            }
         }
     }
 
@@ -113,7 +119,12 @@
         val known =
             replica.machines.values.mapNotNull { machine ->
                 val type = replica.types[machine.record.type]
-                val lost = fleet.view(machine.id)?.let { ownership.controls(machine.id) && (!fleet.isFresh(it) || orders.isEmptying(it, ownership.control(it.id))) } ?: false
+                val lost =
+                    fleet.view(machine.id)?.let {
+                        ownership.controls(machine.id) &&
+                            (!fleet.isFresh(it) || orders.isEmptying(it, ownership.control(it.id)))
+                    }
+                        ?: false
                 if (type == null || machine.record.retiring != Retiring.NO || observer.isGone(machine.id) || lost) {
                     null
                 } else {
@@ -127,7 +138,17 @@
                 val type = replica.types[machine.offer.type] ?: return@mapNotNull null
                 // Some machines take several times as long to boot, or forever: nobody should wait for them.
                 if (kernel.now - machine.sinceUs > (type.bootS * LATE_BOOT * SECOND).toLong()) return@mapNotNull null
-                Room(machine.id, type.name, machine.offer.zone, machine.offer.spot, type.capacity, type.capacity, { false }, true, up = false)
+                Room(
+                    machine.id,
+                    type.name,
+                    machine.offer.zone,
+                    machine.offer.spot,
+                    type.capacity,
+                    type.capacity,
+                    { false },
+                    true,
+                    up = false,
+                )
             }
         val asked =
             capacity.asked().flatMap { (offer, count) ->
@@ -165,7 +186,14 @@
         wants
             .groupBy { want ->
                 val spec = want.spec
-                if (spec.oneZone || spec.isGang || want.perZone.isNotEmpty()) spec.id else listOf(spec.jobClass, spec.demand, spec.types, spec.zone, spec.spot, spec.spread, want.ordinary)
+                if (spec.oneZone ||
+                    spec.isGang ||
+                    want.perZone.isNotEmpty()
+                ) {
+                    spec.id
+                } else {
+                    listOf(spec.jobClass, spec.demand, spec.types, spec.zone, spec.spot, spec.spread, want.ordinary)
+                }
             }.values
             .map { same ->
                 val count = same.sumOf { it.count }
@@ -190,7 +218,13 @@
             } else {
                 val peak = seen.history.maxOfOrNull { it.second } ?: 0
                 val spare = ceil(peak * operators.batchHeadroom).toInt() - now
-                if (spare <= 0) null else Shopper.Want(seen.spec.copy(spread = false, oneZone = false), spare, ordinary = false, spare = true)
+                if (spare <=
+                    0
+                ) {
+                    null
+                } else {
+                    Shopper.Want(seen.spec.copy(spread = false, oneZone = false), spare, ordinary = false, spare = true)
+                }
             }
         }
 
@@ -199,7 +233,9 @@
         val idle = unused.mapNotNull { replica.machines[it] }.filterNot { roster.isMarked(it.id) }.sortedBy { it.id.text }
         val (spot, ordinary) = idle.partition { it.record.spot }
         // Ordinary machines cost several times as much: beyond a few that may soon be wanted again they go early.
-        val due = ordinary.drop(KEPT).filter { isIdleFor(it, operators.idleUs / EARLY) } + (ordinary.take(KEPT) + spot).filter { isIdleFor(it, operators.idleUs) }
+        val due =
+            ordinary.drop(KEPT).filter { isIdleFor(it, operators.idleUs / EARLY) } +
+                (ordinary.take(KEPT) + spot).filter { isIdleFor(it, operators.idleUs) }
         due.take(maxOf(2, due.size / RETURN_PART)).forEach { roster.retire(it.id, Retiring.DRAIN, "idle") }
     }
 
--- a/src/main/kotlin/mintpick/users/Routes.kt
+++ b/src/main/kotlin/mintpick/users/Routes.kt
@@ -91,7 +91,12 @@
         when {
             rest.count { it == '/' } > 1 || (action.isEmpty() && '/' in rest) -> respond(NO_PATH.toResponse())
             action.isEmpty() -> only(request, Method.GET, respond) { known(id, respond) { job -> shed(respond) { Event.Poll(job, it) } } }
-            action == "cancel" -> only(request, Method.POST, respond) { known(id, respond) { job -> shed(respond) { Event.Cancel(job, it) } } }
+            action == "cancel" ->
+                only(
+                    request,
+                    Method.POST,
+                    respond,
+                ) { known(id, respond) { job -> shed(respond) { Event.Cancel(job, it) } } }
             else -> respond(NO_PATH.toResponse())
         }
     }
--- a/src/test/kotlin/mintpick/config/OperatorsFileTest.kt
+++ b/src/test/kotlin/mintpick/config/OperatorsFileTest.kt
@@ -16,7 +16,10 @@
 
     @Test
     fun `a nested tree is read`() {
-        val read = OperatorsFile.parse("window_s: 120\nshares:\n  - name: g\n    weight: 3\n    members:\n      - {name: a, weight: 2}\n  - {name: b}\n")
+        val read =
+            OperatorsFile.parse(
+                "window_s: 120\nshares:\n  - name: g\n    weight: 3\n    members:\n      - {name: a, weight: 2}\n  - {name: b}\n",
+            )
         assertEquals(120 * SECOND, read.windowUs)
         assertEquals(listOf("a", "b"), read.shares?.teams())
         assertEquals(ShareNode.Team("b", 1.0), read.shares?.children?.last())
@@ -37,7 +40,13 @@
         for ((text, part) in faults) {
             val error = assertThrows(ConfigException::class.java, { OperatorsFile.parse(text) }, text)
             assertTrue(part in error.message.orEmpty(), "$text: ${error.message}")
-            assertEquals(1, error.message.orEmpty().lines().size)
+            assertEquals(
+                1,
+                error.message
+                    .orEmpty()
+                    .lines()
+                    .size,
+            )
         }
         assertThrows(ConfigException::class.java) { OperatorsFile.load(Path.of("docs/examples/missing.yaml")) }
     }
--- a/src/test/kotlin/mintpick/config/SettingsTest.kt
+++ b/src/test/kotlin/mintpick/config/SettingsTest.kt
@@ -37,7 +37,13 @@
             DynamicTest.dynamicTest(field) {
                 val error = assertThrows(ConfigException::class.java) { Settings.parse(fault(Samples.toml())) }
                 assertTrue(field in error.message.orEmpty(), error.message)
-                assertEquals(1, error.message.orEmpty().lines().size)
+                assertEquals(
+                    1,
+                    error.message
+                        .orEmpty()
+                        .lines()
+                        .size,
+                )
             }
         }
 
@@ -45,7 +51,13 @@
     fun `text that is no TOML is refused in one line`() {
         for (text in listOf("", "node = ", "[[[", "\u0000")) {
             val error = assertThrows(ConfigException::class.java) { Settings.parse(text) }
-            assertEquals(1, error.message.orEmpty().lines().size)
+            assertEquals(
+                1,
+                error.message
+                    .orEmpty()
+                    .lines()
+                    .size,
+            )
         }
     }
 }
--- a/src/test/kotlin/mintpick/core/PlacerTest.kt
+++ b/src/test/kotlin/mintpick/core/PlacerTest.kt
@@ -36,7 +36,11 @@
                     oneZone = round % 3 == 1,
                     zone = if (round % 5 == 4) "north" else null,
                 )
-            val placed = Placer(SplittableRandom(1), 8).place(spec, (0 until spec.tasks).asSequence(), Placer.Rooms.of(rooms), emptyMap(), 100)
+            val placed =
+                Placer(
+                    SplittableRandom(1),
+                    8,
+                ).place(spec, (0 until spec.tasks).asSequence(), Placer.Rooms.of(rooms), emptyMap(), 100)
             val byId = rooms.associateBy { it.machine }
             placed.groupBy { it.second }.forEach { (machine, tasks) ->
                 assertTrue((spec.demand * tasks.size.toDouble()).fits(byId.getValue(machine).free))
@@ -60,34 +64,65 @@
             ).associateBy { it.name }
         val shopper = Shopper(types, listOf("north", "south")) { true }
         val spot = shopper.plan(emptyList(), listOf(Shopper.Want(Samples.spec(cpus = 4.0), 4)), 10)
-        assertEquals(setOf("cheap" to true), spot.rent.keys.map { it.type to it.spot }.toSet())
+        assertEquals(
+            setOf("cheap" to true),
+            spot.rent.keys
+                .map { it.type to it.spot }
+                .toSet(),
+        )
         assertEquals(2, spot.rent.values.sum())
-        val spread = shopper.plan(emptyList(), listOf(Shopper.Want(Samples.spec(cpus = 1.0, tasks = 2, spot = false, spread = true), 2)), 10)
-        assertEquals(setOf("north", "south"), spread.rent.keys.map { it.zone }.toSet())
+        val spread =
+            shopper.plan(
+                emptyList(),
+                listOf(Shopper.Want(Samples.spec(cpus = 1.0, tasks = 2, spot = false, spread = true), 2)),
+                10,
+            )
+        assertEquals(
+            setOf("north", "south"),
+            spread.rent.keys
+                .map { it.zone }
+                .toSet(),
+        )
         assertTrue(spread.rent.keys.none { it.spot })
     }
 
     @Test
     fun `batch work on ordinary machines is no reason to rent more of them for services`() {
         val types =
-            listOf(mintpick.wire.MachineType("small", 8.0, 0.0, 32.0, price = 1.0, spotPrice = 0.2, zones = listOf("north"))).associateBy { it.name }
+            listOf(
+                mintpick.wire.MachineType("small", 8.0, 0.0, 32.0, price = 1.0, spotPrice = 0.2, zones = listOf("north")),
+            ).associateBy { it.name }
         val total = Resources(8.0, 0.0, 32.0)
         val full = Room(MachineId("m"), "small", "north", false, Resources.ZERO, total, { false }, true, yielding = total)
         val shopper = Shopper(types, listOf("north")) { true }
         val service = Shopper.Want(Samples.spec(kind = mintpick.wire.JobKind.SERVICE, spot = false, cpus = 1.0), 3)
         assertEquals(emptyMap<Offer, Int>(), shopper.plan(listOf(full), listOf(service), 5).rent)
-        assertEquals(1, shopper.plan(listOf(full), listOf(Shopper.Want(Samples.spec(cpus = 1.0), 3)), 5).rent.values.sum())
+        assertEquals(
+            1,
+            shopper
+                .plan(listOf(full), listOf(Shopper.Want(Samples.spec(cpus = 1.0), 3)), 5)
+                .rent.values
+                .sum(),
+        )
     }
 
     /** Room kept for batch work that may come back once held hundreds of dear machines for a minute after each peak. */
     @Test
     fun `expected batch work keeps no ordinary machine`() {
-        val types = listOf(mintpick.wire.MachineType("small", 8.0, 0.0, 32.0, price = 1.0, spotPrice = 0.2, zones = listOf("north"))).associateBy { it.name }
+        val types =
+            listOf(
+                mintpick.wire.MachineType("small", 8.0, 0.0, 32.0, price = 1.0, spotPrice = 0.2, zones = listOf("north")),
+            ).associateBy {
+                it.name
+            }
         val total = Resources(8.0, 0.0, 32.0)
         val rooms = listOf(true, false).map { spot -> Room(MachineId("spot-$spot"), "small", "north", spot, total, total, { false }, true) }
         val shopper = Shopper(types, listOf("north")) { false }
         val spec = Samples.spec(cpus = 4.0)
-        assertEquals(setOf(MachineId("spot-false")), shopper.plan(rooms, listOf(Shopper.Want(spec, 4, ordinary = false, spare = true)), 5).unused)
+        assertEquals(
+            setOf(MachineId("spot-false")),
+            shopper.plan(rooms, listOf(Shopper.Want(spec, 4, ordinary = false, spare = true)), 5).unused,
+        )
         assertEquals(emptySet<MachineId>(), shopper.plan(rooms, listOf(Shopper.Want(spec, 4, ordinary = false)), 5).unused)
     }
 }
--- a/src/test/kotlin/mintpick/net/HttpCallerTest.kt
+++ b/src/test/kotlin/mintpick/net/HttpCallerTest.kt
@@ -65,7 +65,15 @@
 
     @Test
     fun `a chunked answer and one with an error status are read whole`() {
-        Server(2) { n -> if (n == 1) "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n" else "HTTP/1.1 409 Conflict\r\nContent-Length: 1\r\n\r\nx" }.use { server ->
+        Server(2) { n ->
+            if (n ==
+                1
+            ) {
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+            } else {
+                "HTTP/1.1 409 Conflict\r\nContent-Length: 1\r\n\r\nx"
+            }
+        }.use { server ->
             assertEquals("abc", text(call(server)))
             val conflict = call(server) as Outcome.Answered
             assertEquals(409 to "x", conflict.status to conflict.text())
--- a/src/test/kotlin/mintpick/sim/AddedRulesTest.kt
+++ b/src/test/kotlin/mintpick/sim/AddedRulesTest.kt
@@ -24,7 +24,8 @@
     private fun service(
         n: Int,
         tasks: Int = 2,
-    ): JobSpec = Samples.spec("req-%06d".format(n), tasks = tasks, kind = JobKind.SERVICE, priority = Priority.PRODUCTION, cpus = 1.0, spot = false)
+    ): JobSpec =
+        Samples.spec("req-%06d".format(n), tasks = tasks, kind = JobKind.SERVICE, priority = Priority.PRODUCTION, cpus = 1.0, spot = false)
 
     private fun World.services(count: Int) = (1..count).forEach { n -> after(n * SECOND / 2) { user(service(n), null) } }
 
@@ -48,7 +49,14 @@
         world.run(100 * SECOND)
         assertFalse(deaf.id in world.workers, "released")
         assertTrue(held.all { task -> world.workers.values.any { task in world.rules.attemptsOn(it.id) } }, "moved")
-        assertTrue((7..10).all { n -> world.workers.values.any { w -> world.rules.attemptsOn(w.id).any { it.startsWith("req-%06d".format(n)) } } }, "nobody waits for it")
+        assertTrue(
+            (7..10).all { n ->
+                world.workers.values.any { w ->
+                    world.rules.attemptsOn(w.id).any { it.startsWith("req-%06d".format(n)) }
+                }
+            },
+            "nobody waits for it",
+        )
         assertEquals(emptyList<String>(), world.rules.breaches)
     }
 
@@ -64,7 +72,10 @@
         world.run(66 * SECOND)
         (5..12).forEach { n -> world.user(service(n, tasks = 1), null) }
         world.run(76 * SECOND)
-        val late = (5..12).count { n -> world.workers.values.none { w -> world.rules.attemptsOn(w.id).any { it.startsWith("req-%06d".format(n)) } } }
+        val late =
+            (5..12).count { n ->
+                world.workers.values.none { w -> world.rules.attemptsOn(w.id).any { it.startsWith("req-%06d".format(n)) } }
+            }
         assertTrue(late <= 1, "$late of 8 wait for a machine that does not hear")
         // With the cloud down its own lease settles what it held.
         world.run(100 * SECOND)
@@ -119,7 +130,16 @@
             world.rules.calmSinceUs = world.now
             world.run((140 + span) * SECOND)
             assertEquals(emptyList<String>(), world.rules.breaches)
-            assertTrue((1..6).all { n -> (0..1).all { t -> world.workers.values.any { "req-%06d/$t".format(n) in world.rules.attemptsOn(it.id) } } })
+            assertTrue(
+                (1..6).all { n ->
+                    (0..1).all { t ->
+                        world.workers.values.any {
+                            "req-%06d/$t".format(n) in
+                                world.rules.attemptsOn(it.id)
+                        }
+                    }
+                },
+            )
         }
     }
 
@@ -133,7 +153,19 @@
                         if (n % 4 == 0) {
                             service(n, 1 + world.random.nextInt(3))
                         } else {
-                            Samples.spec("req-%06d".format(n), team = if (n % 2 == 0) "red" else "blue", tasks = 1 + world.random.nextInt(12), estimateS = 2.0 + world.random.nextInt(12))
+                            Samples.spec(
+                                "req-%06d".format(n),
+                                team =
+                                    if (n % 2 ==
+                                        0
+                                    ) {
+                                        "red"
+                                    } else {
+                                        "blue"
+                                    },
+                                tasks = 1 + world.random.nextInt(12),
+                                estimateS = 2.0 + world.random.nextInt(12),
+                            )
                         }
                     world.after(world.random.nextLong(60 * SECOND)) { world.user(spec, if (n % 7 == 0) 20 * SECOND else null) }
                 }
@@ -141,7 +173,12 @@
                 world.after(120 * SECOND) { world.rules.calmSinceUs = world.now }
                 world.run(300 * SECOND)
                 world.rules.checkServed(world.now)
-                assertEquals(emptyList<String>(), world.rules.breaches.distinct().take(5))
+                assertEquals(
+                    emptyList<String>(),
+                    world.rules.breaches
+                        .distinct()
+                        .take(5),
+                )
             }
         }
 
@@ -181,12 +218,16 @@
     @Test
     fun `controllers that do not hear each other do not pass shards back and forth`() {
         val world = world(45, size = Size(machines = 90))
-        (1..20).forEach { n -> world.user(Samples.spec("req-%06d".format(n), team = "blue", tasks = 10, cpus = 2.0, estimateS = 500.0), null) }
+        (1..20).forEach { n ->
+            world.user(Samples.spec("req-%06d".format(n), team = "blue", tasks = 10, cpus = 2.0, estimateS = 500.0), null)
+        }
         world.run(60 * SECOND)
         val before = world.state.writesByKind["s"] ?: 0
         world.nodes.forEach { it.cutFromPeers = true }
         // Workers of new machines report to any controller first.
-        (21..40).forEach { n -> world.user(Samples.spec("req-%06d".format(n), team = "blue", tasks = 10, cpus = 2.0, estimateS = 500.0), null) }
+        (21..40).forEach { n ->
+            world.user(Samples.spec("req-%06d".format(n), team = "blue", tasks = 10, cpus = 2.0, estimateS = 500.0), null)
+        }
         world.run(100 * SECOND)
         val claims = (world.state.writesByKind["s"] ?: 0) - before
         // Each part in both zones may change hands once or twice; without the guard it was over four hundred times.
--- a/src/test/kotlin/mintpick/sim/GrowthTest.kt
+++ b/src/test/kotlin/mintpick/sim/GrowthTest.kt
@@ -17,7 +17,9 @@
     @Test
     fun `the machines of a backlog go soon after it`() {
         val world = World(52, Luck(), Size(machines = 400, spot = 40)) { Samples.settings(it) }
-        (1..40).forEach { n -> world.user(Samples.spec("req-%06d".format(n), team = "blue", tasks = 40, cpus = 2.0, estimateS = 20.0), null) }
+        (1..40).forEach { n ->
+            world.user(Samples.spec("req-%06d".format(n), team = "blue", tasks = 40, cpus = 2.0, estimateS = 20.0), null)
+        }
         var most = 0
         for (second in 10..60) {
             world.run(second * SECOND)
@@ -25,7 +27,12 @@
         }
         assertTrue(most > 250, "$most ordinary machines for the backlog")
         assertEquals(0, world.workers.values.count { !it.spot }, "ordinary machines left")
-        assertEquals(emptyList<String>(), world.rules.breaches.distinct().take(5))
+        assertEquals(
+            emptyList<String>(),
+            world.rules.breaches
+                .distinct()
+                .take(5),
+        )
     }
 
     @Test
@@ -38,7 +45,16 @@
             val size = 4 + n % 6
             tasks += size
             val spec =
-                Samples.spec("req-%06d".format(n), team = "blue", tasks = size, kind = JobKind.SERVICE, priority = Priority.PRODUCTION, cpus = 1.0, spot = false, spread = true)
+                Samples.spec(
+                    "req-%06d".format(n),
+                    team = "blue",
+                    tasks = size,
+                    kind = JobKind.SERVICE,
+                    priority = Priority.PRODUCTION,
+                    cpus = 1.0,
+                    spot = false,
+                    spread = true,
+                )
             world.after(n * SECOND / 8) { world.user(spec, null) }
         }
         (1..arrays).forEach { n ->
@@ -49,7 +65,12 @@
         }
         world.run(110 * SECOND)
         val jobs = services + arrays
-        assertEquals(emptyList<String>(), world.rules.breaches.distinct().take(5))
+        assertEquals(
+            emptyList<String>(),
+            world.rules.breaches
+                .distinct()
+                .take(5),
+        )
         assertTrue(world.workers.size > 500, "${world.workers.size} machines")
         assertTrue(world.rules.starts >= tasks * 9 / 10, "${world.rules.starts} of $tasks tasks started")
         // Stored, placed and finished, with some parts while writes abound: a handful for each job, whatever its tasks
@@ -82,7 +103,16 @@
         val world = World(53, Luck(), Size(machines = machines)) { Samples.settings(it) }
         val services = machines / 20
         (1..services).forEach { n ->
-            val spec = Samples.spec("req-%06d".format(n), team = "blue", tasks = 4, kind = JobKind.SERVICE, priority = Priority.PRODUCTION, cpus = 2.0, spot = false)
+            val spec =
+                Samples.spec(
+                    "req-%06d".format(n),
+                    team = "blue",
+                    tasks = 4,
+                    kind = JobKind.SERVICE,
+                    priority = Priority.PRODUCTION,
+                    cpus = 2.0,
+                    spot = false,
+                )
             world.after(n * 15 * SECOND / services) { world.user(spec, null) }
         }
         (1..4).forEach { round ->
@@ -95,15 +125,25 @@
         listOf(45L, 60L).forEach { at ->
             world.after(at * SECOND) {
                 most += world.workers.size
-                world.workers.keys.filterIndexed { i, _ -> i % 8 == 0 }.forEach(world::remove)
+                world.workers.keys
+                    .filterIndexed { i, _ -> i % 8 == 0 }
+                    .forEach(world::remove)
             }
         }
         world.after(75 * SECOND) { world.zoneOut = "south" }
         world.after(100 * SECOND) { world.zoneOut = null }
         world.after(115 * SECOND) { world.nodes.forEach { it.crash(SECOND / 3) } }
         world.run(140 * SECOND)
-        assertEquals(emptyList<String>(), world.rules.breaches.distinct().take(5))
-        val running = (1..services).sumOf { n -> world.workers.values.sumOf { w -> world.rules.attemptsOn(w.id).count { it.startsWith("req-%06d/".format(n)) } } }
+        assertEquals(
+            emptyList<String>(),
+            world.rules.breaches
+                .distinct()
+                .take(5),
+        )
+        val running =
+            (1..services).sumOf { n ->
+                world.workers.values.sumOf { w -> world.rules.attemptsOn(w.id).count { it.startsWith("req-%06d/".format(n)) } }
+            }
         assertTrue(running >= services * 4 * 99 / 100, "$running of ${services * 4} replicas run")
         val starts = world.rules.starts.toDouble()
         return Counts(most.max(), world.state.writes / starts, world.nodes.sumOf { it.calls } / starts, world.state.bytesWritten / starts)
--- a/src/test/kotlin/mintpick/sim/GuardsTest.kt
+++ b/src/test/kotlin/mintpick/sim/GuardsTest.kt
@@ -33,7 +33,8 @@
     private fun service(
         n: Int,
         tasks: Int = 2,
-    ): JobSpec = Samples.spec("req-%06d".format(n), tasks = tasks, kind = JobKind.SERVICE, priority = Priority.PRODUCTION, cpus = 1.0, spot = false)
+    ): JobSpec =
+        Samples.spec("req-%06d".format(n), tasks = tasks, kind = JobKind.SERVICE, priority = Priority.PRODUCTION, cpus = 1.0, spot = false)
 
     private fun batch(
         n: Int,
@@ -199,7 +200,13 @@
         world.nodes.forEach { it.crash(SECOND / 10) }
         world.after(2 * SECOND) { world.user(batch(2, tasks = 60), null) }
         world.run(50 * SECOND)
-        assertTrue(world.rentalNames.values.flatten().distinct().size > 1, "rented in two lives: ${world.rentalNames}")
+        assertTrue(
+            world.rentalNames.values
+                .flatten()
+                .distinct()
+                .size > 1,
+            "rented in two lives: ${world.rentalNames}",
+        )
         assertTrue(world.rentalNames.values.all { it.size == 1 }, "${world.rentalNames}")
     }
 
@@ -214,7 +221,11 @@
         world.after(2 * SECOND) { world.workers.values.forEach { it.deaf = false } }
         world.run(100 * SECOND)
         assertTrue(world.workers.values.any { worker -> worker.missed.any { "req-000009" in it.second } }, "its start was lost")
-        val record = world.state.keys().first { it.first == Keys.job("req-000009") }.second
+        val record =
+            world.state
+                .keys()
+                .first { it.first == Keys.job("req-000009") }
+                .second
         assertEquals(null, RecordCodec.decodeJob(WireJson.parseToJsonElement(record)).spec, record)
     }
 
@@ -270,7 +281,12 @@
         repeat(3) { i -> world.after(i * 2 * SECOND) { world.nodes.forEach { it.crash(SECOND / 3) } } }
         world.after(5 * SECOND) { world.rules.calmSinceUs = world.now }
         world.run(205 * SECOND)
-        assertEquals(emptyList<String>(), world.rules.breaches.distinct().take(5))
+        assertEquals(
+            emptyList<String>(),
+            world.rules.breaches
+                .distinct()
+                .take(5),
+        )
         assertEquals(600, (1..600).count { world.rules.isFinal("req-%06d".format(it)) })
     }
 }
--- a/src/test/kotlin/mintpick/sim/ModelTest.kt
+++ b/src/test/kotlin/mintpick/sim/ModelTest.kt
@@ -64,7 +64,12 @@
                 repeat(9) { world.after(5 * SECOND + world.random.nextLong(100 * SECOND)) { world.trouble() } }
                 world.after(20 * SECOND) { world.pollUnknown("req-999999") }
                 world.run(240 * SECOND)
-                assertEquals(emptyList<String>(), world.rules.breaches.distinct().take(5))
+                assertEquals(
+                    emptyList<String>(),
+                    world.rules.breaches
+                        .distinct()
+                        .take(5),
+                )
                 assertTrue(world.rules.starts > 20, "${world.rules.starts} starts")
             }
         }
@@ -85,7 +90,16 @@
     fun `a cut between zones costs no machines that the other side serves`() {
         val world = world(3, Luck())
         (1..4).forEach { n ->
-            val spec = Samples.spec("req-%06d".format(n), tasks = 2, kind = JobKind.SERVICE, priority = Priority.PRODUCTION, cpus = 1.0, spot = false, spread = true)
+            val spec =
+                Samples.spec(
+                    "req-%06d".format(n),
+                    tasks = 2,
+                    kind = JobKind.SERVICE,
+                    priority = Priority.PRODUCTION,
+                    cpus = 1.0,
+                    spot = false,
+                    spread = true,
+                )
             world.after(n * SECOND) { world.user(spec, null) }
         }
         world.run(60 * SECOND)
@@ -102,7 +116,15 @@
     }
 
     private fun spread(n: Int) =
-        Samples.spec("req-%06d".format(n), tasks = 4, kind = JobKind.SERVICE, priority = Priority.PRODUCTION, cpus = 1.0, spot = false, spread = true)
+        Samples.spec(
+            "req-%06d".format(n),
+            tasks = 4,
+            kind = JobKind.SERVICE,
+            priority = Priority.PRODUCTION,
+            cpus = 1.0,
+            spot = false,
+            spread = true,
+        )
 
     /**
      * Two thirds of a zone that was cut off once lost their leases, and were returned, beside a controller that could
@@ -119,7 +141,12 @@
         world.run(90 * SECOND)
         world.zoneOut = null
         world.run(130 * SECOND)
-        assertEquals(emptyList<String>(), world.rules.breaches.distinct().take(5))
+        assertEquals(
+            emptyList<String>(),
+            world.rules.breaches
+                .distinct()
+                .take(5),
+        )
         assertEquals(20, starts)
         assertEquals(starts, world.rules.starts, "no replica had to move")
         assertTrue(world.workers.keys.containsAll(running), "no machine was returned")
@@ -130,23 +157,52 @@
     fun `a controller cut off from its workers alone returns none of them`() {
         val world = World(22, Luck(), Size(machines = 60)) { Samples.settings(it) }
         (1..24).forEach { n ->
-            val spec = Samples.spec("req-%06d".format(n), team = "blue", tasks = 4, kind = JobKind.SERVICE, priority = Priority.PRODUCTION, cpus = 4.0, spot = false)
+            val spec =
+                Samples.spec(
+                    "req-%06d".format(n),
+                    team = "blue",
+                    tasks = 4,
+                    kind = JobKind.SERVICE,
+                    priority = Priority.PRODUCTION,
+                    cpus = 4.0,
+                    spot = false,
+                )
             world.after(n * SECOND / 4) { world.user(spec, null) }
         }
         world.run(60 * SECOND)
-        val running = world.workers.values.filter { world.rules.attemptsOn(it.id).isNotEmpty() }.map { it.id }
+        val running =
+            world.workers.values
+                .filter { world.rules.attemptsOn(it.id).isNotEmpty() }
+                .map { it.id }
         val starts = world.rules.starts
         val cut = world.nodes.first { node -> node.settings.node == world.leader() }
         cut.cutFromWorkers = true
         world.run(110 * SECOND)
         cut.cutFromWorkers = false
         world.run(140 * SECOND)
-        assertEquals(emptyList<String>(), world.rules.breaches.distinct().take(5))
-        assertTrue(running.size > 9 && world.workers.keys.containsAll(running), "${running.size} machines, ${running.count { it !in world.workers }} returned")
+        assertEquals(
+            emptyList<String>(),
+            world.rules.breaches
+                .distinct()
+                .take(5),
+        )
+        assertTrue(
+            running.size > 9 && world.workers.keys.containsAll(running),
+            "${running.size} machines, ${running.count { it !in world.workers }} returned",
+        )
         assertEquals(starts, world.rules.starts, "no replica had to move")
     }
 
-    private fun World.leader(): String = WireJson.decodeFromString(ClaimRecord.serializer(), state.keys().first { it.first == Keys.LEADER }.second).node
+    private fun World.leader(): String =
+        WireJson
+            .decodeFromString(
+                ClaimRecord.serializer(),
+                state
+                    .keys()
+                    .first {
+                        it.first == Keys.LEADER
+                    }.second,
+            ).node
 
     /** Whoever stands in ends in time for cancellations, and nobody takes over before that: with the cloud down only leases tell. */
     @TestFactory
@@ -155,7 +211,20 @@
             DynamicTest.dynamicTest("seed $seed") {
                 val world = world(seed, Luck())
                 world.jobs(16, 40 * SECOND)
-                (41..45).forEach { n -> world.after(n * SECOND / 4) { world.user(spread(n), if (n % 2 == 0) 52 * SECOND + world.random.nextLong(12 * SECOND) else null) } }
+                (41..45).forEach { n ->
+                    world.after(n * SECOND / 4) {
+                        world.user(
+                            spread(n),
+                            if (n % 2 ==
+                                0
+                            ) {
+                                52 * SECOND + world.random.nextLong(12 * SECOND)
+                            } else {
+                                null
+                            },
+                        )
+                    }
+                }
                 world.run(60 * SECOND)
                 if (seed % 2 == 0L) world.cloudOut = true
                 // Of the two controllers in the north each hears the other, and neither hears who is served.
@@ -165,7 +234,12 @@
                 world.after(30 * SECOND + world.random.nextLong(70 * SECOND)) { world.zoneOut = null }
                 world.after(60 * SECOND) { world.cloudOut = false }
                 world.run(260 * SECOND)
-                assertEquals(emptyList<String>(), world.rules.breaches.distinct().take(5))
+                assertEquals(
+                    emptyList<String>(),
+                    world.rules.breaches
+                        .distinct()
+                        .take(5),
+                )
             }
         }
 
--- a/src/test/kotlin/mintpick/sim/Rules.kt
+++ b/src/test/kotlin/mintpick/sim/Rules.kt
@@ -87,7 +87,12 @@
         }
         if (place.spot && !spec.spot) breaches += "wrong_place: $task on a spot machine"
         if (spec.zone != null && spec.zone != place.zone) breaches += "wrong_place: $task in ${place.zone}"
-        val zones = on.filterKeys { it.substringBeforeLast('/') == job }.values.groupingBy { it.zone }.eachCount()
+        val zones =
+            on
+                .filterKeys { it.substringBeforeLast('/') == job }
+                .values
+                .groupingBy { it.zone }
+                .eachCount()
         if (spec.spread && (zones[place.zone] ?: 0) > (spec.tasks + 1) / 2) breaches += "wrong_place: $task too many in ${place.zone}"
         if (spec.oneZone && zones.size > 1) breaches += "wrong_place: $task in two zones"
         val limit = limits[spec.team] ?: 0.0
--- a/src/test/kotlin/mintpick/sim/SimState.kt
+++ b/src/test/kotlin/mintpick/sim/SimState.kt
@@ -57,7 +57,11 @@
             leases.replaceAll { _, (ttl, _) -> ttl to now + ttl }
             return
         }
-        leases.filterValues { it.second <= now }.keys.toList().forEach { end(it) }
+        leases
+            .filterValues { it.second <= now }
+            .keys
+            .toList()
+            .forEach { end(it) }
         val due = watches.filter { w -> now >= w.untilUs || log.any { it.version > w.since } }
         watches.removeAll(due)
         due.forEach { it.answer(events(it.since)) }
@@ -97,7 +101,11 @@
             when {
                 route == "/keys" -> page(query)
                 route == "/multi" -> transact(WireJson.decodeFromString(Transaction.serializer(), body))
-                route == "/leases" && method == "POST" -> grant(now, WireJson.decodeFromString(LeaseRequest.serializer(), body).ttlMs * 1000)
+                route == "/leases" && method == "POST" ->
+                    grant(
+                        now,
+                        WireJson.decodeFromString(LeaseRequest.serializer(), body).ttlMs * 1000,
+                    )
                 route.endsWith("/touch") -> touch(now, route.split('/')[2].toLong())
                 else -> Http(400, "{}")
             },
@@ -111,7 +119,12 @@
         val after = query["since"].orEmpty()
         val limit = query["limit"]?.toInt() ?: 1000
         val prefix = query["under"].orEmpty()
-        val found = items.tailMap(after, false).filterKeys { it.startsWith(prefix) }.entries.take(limit + 1)
+        val found =
+            items
+                .tailMap(after, false)
+                .filterKeys { it.startsWith(prefix) }
+                .entries
+                .take(limit + 1)
         val page = found.take(limit).map { StoredItem(it.key, it.value.value, it.value.version) }
         return Http(200, WireJson.encodeToString(ItemPage.serializer(), ItemPage(page, found.size > limit, revision)))
     }
@@ -140,7 +153,12 @@
         writes += transaction.changes.size
         transaction.changes.forEach { writesByKind.merge((it.put ?: it.delete).orEmpty().split('/').getOrElse(1) { "" }, 1, Int::plus) }
         val failed = transaction.guards.filter { (items[it.key]?.version ?: 0) != it.version }.map { it.key }
-        if (failed.isNotEmpty()) return Http(409, WireJson.encodeToString(TransactionAnswer.serializer(), TransactionAnswer(revision, failed)))
+        if (failed.isNotEmpty()) {
+            return Http(
+                409,
+                WireJson.encodeToString(TransactionAnswer.serializer(), TransactionAnswer(revision, failed)),
+            )
+        }
         if (transaction.changes.any { it.lease != null && it.lease !in leases }) return Http(400, """{"error":"no such lease"}""")
         if (transaction.changes.isNotEmpty()) revision++
         transaction.changes.forEach(::apply)
--- a/src/test/kotlin/mintpick/sim/SimWorker.kt
+++ b/src/test/kotlin/mintpick/sim/SimWorker.kt
@@ -174,7 +174,13 @@
                     }
                     else -> Unit
                 }
-            Verb.STOP -> if (task != null && task.attempt == command.attempt && task.state != TaskState.EXITED) exit(command.task, task, ExitCause.STOPPED, now)
+            Verb.STOP ->
+                if (task != null &&
+                    task.attempt == command.attempt &&
+                    task.state != TaskState.EXITED
+                ) {
+                    exit(command.task, task, ExitCause.STOPPED, now)
+                }
             Verb.FORGET -> if (task?.state == TaskState.EXITED && task.attempt == command.attempt) tasks.remove(command.task)
         }
     }
--- a/src/test/kotlin/mintpick/sim/Users.kt
+++ b/src/test/kotlin/mintpick/sim/Users.kt
@@ -61,8 +61,7 @@
         }
     }
 
-    fun pollUnknown(id: String) =
-        ask({ Event.Poll(JobId(id), it) }) { if (it?.status == 200) rules.told(id, JobStage.QUEUED, world.now) }
+    fun pollUnknown(id: String) = ask({ Event.Poll(JobId(id), it) }) { if (it?.status == 200) rules.told(id, JobStage.QUEUED, world.now) }
 
     private fun cancel(id: String) {
         if (!rules.isAccepted(id)) return world.after(SECOND) { cancel(id) }
--- a/src/test/kotlin/mintpick/sim/World.kt
+++ b/src/test/kotlin/mintpick/sim/World.kt
@@ -120,6 +120,7 @@
 
     /** A zone that is cut off from everything: from the other zone, the state service, the cloud and the users. */
     var zoneOut: String? = null
+
     /** Calls by the address of the machine that they were for. */
     val callsTo = HashMap<String, Int>()
 
@@ -191,7 +192,10 @@
         val cut =
             ((zonesCut || zoneOut != null) && crossesZones(from, call.target)) ||
                 (from.settings.zone == zoneOut && (call.target is Target.State || call.target is Target.Cloud)) ||
-                (from.cutFromState && call.target is Target.State) || (call.target is Target.Peer && peersCut(from, call.target)) || (from.cutFromWorkers && call.target is Target.Worker) || hit(luck.lost)
+                (from.cutFromState && call.target is Target.State) ||
+                (call.target is Target.Peer && peersCut(from, call.target)) ||
+                (from.cutFromWorkers && call.target is Target.Worker) ||
+                hit(luck.lost)
         if (cut) return
         // A packet that is held back arrives long after the sender has given up.
         val travel = if (hit(luck.late)) 2 * SECOND + random.nextLong(20 * SECOND) else delay()
@@ -223,7 +227,13 @@
     ) {
         val body = call.body ?: ByteArray(0)
         when (val target = call.target) {
-            is Target.State -> state.request(now, call.method, call.path, body.decodeToString()) { reply(it.status, it.body.encodeToByteArray()) }
+            is Target.State ->
+                state.request(
+                    now,
+                    call.method,
+                    call.path,
+                    body.decodeToString(),
+                ) { reply(it.status, it.body.encodeToByteArray()) }
             is Target.Cloud -> cloud(call, body.decodeToString(), reply)
             is Target.Peer -> {
                 val peer = nodes.first { it.settings.mesh.toString() == target.address }
@@ -233,7 +243,13 @@
             is Target.Worker -> {
                 callsTo.merge(target.address, 1, Int::plus)
                 val worker = workers.values.firstOrNull { it.address == target.address } ?: return
-                if (call.method == "GET") inspect(worker, reply) else command(worker, WireJson.decodeFromString(CommandBatch.serializer(), body.decodeToString()), reply)
+                if (call.method ==
+                    "GET"
+                ) {
+                    inspect(worker, reply)
+                } else {
+                    command(worker, WireJson.decodeFromString(CommandBatch.serializer(), body.decodeToString()), reply)
+                }
             }
         }
     }
@@ -278,7 +294,12 @@
                 else -> {
                     val lag = nodes[0].settings.listLagUs * (1 + random.nextInt(2))
                     val after = call.path.substringAfter("since=", "").substringBefore('&')
-                    val list = lists.lastOrNull { it.first <= now - lag }?.second.orEmpty().filter { it.id > after }
+                    val list =
+                        lists
+                            .lastOrNull { it.first <= now - lag }
+                            ?.second
+                            .orEmpty()
+                            .filter { it.id > after }
                     WireJson.encodeToString(MachineListPage.serializer(), MachineListPage(list.take(PAGE), list.size > PAGE))
                 }
             }
@@ -288,7 +309,15 @@
     private fun rent(body: String): List<String> {
         val request = WireJson.decodeFromString(RentalRequest.serializer(), body)
         return hires.getOrPut(request.request) {
-            val spotLeft = if (request.spot) size.spot - workers.values.count { it.spot } - booting.values.count { it.spot } else Int.MAX_VALUE
+            val spotLeft =
+                if (request.spot) {
+                    size.spot -
+                        workers.values.count {
+                            it.spot
+                        } - booting.values.count { it.spot }
+                } else {
+                    Int.MAX_VALUE
+                }
             List(minOf(request.count, size.machines - workers.size - booting.size, spotLeft).coerceAtLeast(0)) {
                 val id = "host-%06d".format(++machines)
                 booting[id] = request
@@ -302,7 +331,16 @@
     private fun boot(id: String) {
         val request = booting.remove(id) ?: return
         val worker =
-            SimWorker(id, "10.1.${id.takeLast(4).toInt() / 250}.${id.takeLast(4).toInt() % 250}:9000", request.type, request.zone, request.spot, nodes[0].settings.leaseUs, this, now)
+            SimWorker(
+                id,
+                "10.1.${id.takeLast(4).toInt() / 250}.${id.takeLast(4).toInt() % 250}:9000",
+                request.type,
+                request.zone,
+                request.spot,
+                nodes[0].settings.leaseUs,
+                this,
+                now,
+            )
         workers[id] = worker
         reportLoop(worker, random.nextInt(NODES), 0)
     }
@@ -313,10 +351,19 @@
     }
 
     private fun listing(): List<ListedMachine> {
-        val all = booting.mapValues { (_, r) -> Triple(r.type, r.zone, r.spot) to RentalStage.BOOTING } +
-            workers.mapValues { (_, w) -> Triple(w.type, w.zone, w.spot) to RentalStage.RUNNING }
+        val all =
+            booting.mapValues { (_, r) -> Triple(r.type, r.zone, r.spot) to RentalStage.BOOTING } +
+                workers.mapValues { (_, w) -> Triple(w.type, w.zone, w.spot) to RentalStage.RUNNING }
         return all.toSortedMap().map { (id, kind) ->
-            ListedMachine(id, null, kind.first.first, kind.first.second, kind.first.third, kind.second, (now - born.getValue(id)).toDouble() / SECOND)
+            ListedMachine(
+                id,
+                null,
+                kind.first.first,
+                kind.first.second,
+                kind.first.third,
+                kind.second,
+                (now - born.getValue(id)).toDouble() / SECOND,
+            )
         }
     }
 
@@ -376,7 +423,11 @@
         worker: SimWorker,
         answer: Answer,
     ) {
-        if (answer.status == 200) worker.miss(WireJson.decodeFromString(ReportAnswer.serializer(), answer.body.decodeToString()).commands, now)
+        if (answer.status ==
+            200
+        ) {
+            worker.miss(WireJson.decodeFromString(ReportAnswer.serializer(), answer.body.decodeToString()).commands, now)
+        }
     }
 
     /** A copy of an old report arrives; nobody reads the answer. */
--- a/src/test/kotlin/mintpick/users/RoutesTest.kt
+++ b/src/test/kotlin/mintpick/users/RoutesTest.kt
@@ -6,8 +6,8 @@
 import mintpick.wire.MachineHint
 import mintpick.wire.MeshProtobuf
 import mintpick.wire.PeerHint
-import org.http4k.core.Method
 import org.http4k.core.MemoryBody
+import org.http4k.core.Method
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -28,7 +28,9 @@
         body: String = "",
     ) = routes.api(Request(method, path).body(MemoryBody(body))) { responses += it }
 
-    private val report = """{"picker":"host-000001","endpoint":"10.0.0.1:1","breed":"m","plot":"z","windfall":true,"shift":1,"tally":1,"baton":0,"pieces":[]}"""
+    private val report =
+        """{"picker":"host-000001","endpoint":"10.0.0.1:1","breed":"m","plot":"z",""" +
+            """"windfall":true,"shift":1,"tally":1,"baton":0,"pieces":[]}"""
 
     /** Workers held for an adoption once took every thread, so that health checks and users waited behind them. */
     @Test
--- a/src/test/kotlin/mintpick/wire/MeshApiTest.kt
+++ b/src/test/kotlin/mintpick/wire/MeshApiTest.kt
@@ -18,13 +18,17 @@
 class MeshApiTest {
     private val config = PropTestConfig(seed = 77)
     private val machines = arbitrary { MachineHint(Arb.string(0..12).bind(), Arb.long().bind(), Arb.list(Arb.int(0..9), 0..4).bind()) }
-    private val hints = arbitrary { PeerHint(Arb.string(0..12).bind(), Arb.long().bind(), Arb.list(machines, 0..5).bind(), Arb.long().bind()) }
+    private val hints =
+        arbitrary { PeerHint(Arb.string(0..12).bind(), Arb.long().bind(), Arb.list(machines, 0..5).bind(), Arb.long().bind()) }
 
     @Test
     fun `hints are read back as they were written`(): Unit =
         runBlocking {
             checkAll(config, hints) { hint ->
-                assertEquals(hint, MeshProtobuf.decodeFromByteArray(PeerHint.serializer(), MeshProtobuf.encodeToByteArray(PeerHint.serializer(), hint)))
+                assertEquals(
+                    hint,
+                    MeshProtobuf.decodeFromByteArray(PeerHint.serializer(), MeshProtobuf.encodeToByteArray(PeerHint.serializer(), hint)),
+                )
             }
         }
 
@@ -40,7 +44,12 @@
     @Test
     fun `a hint of seventeen hundred machines with full caches stays small`() {
         val names = (1..26).map { "img-%02d".format(it) }
-        val hint = PeerHint("node-0", machines = (1..1700).map { MachineHint("host-%06d".format(it), 4_000_000, names.indices.toList()) }, imageNames = names)
+        val hint =
+            PeerHint(
+                "node-0",
+                machines = (1..1700).map { MachineHint("host-%06d".format(it), 4_000_000, names.indices.toList()) },
+                imageNames = names,
+            )
         val bytes = MeshProtobuf.encodeToByteArray(PeerHint.serializer(), hint)
         assertTrue(bytes.size < 128 * 1024, "${bytes.size} bytes")
         assertEquals(names.toSet(), hint.imagesOn(hint.machines.last()))
--- a/src/test/kotlin/mintpick/wire/SubmissionTest.kt
+++ b/src/test/kotlin/mintpick/wire/SubmissionTest.kt
@@ -90,7 +90,11 @@
             )
         for ((field, value) in bad) {
             val error =
-                assertThrows(MalformedException::class.java, { Submission.parse(JsonObject(whole + (field to value)).toString()) }, "$field=$value")
+                assertThrows(
+                    MalformedException::class.java,
+                    { Submission.parse(JsonObject(whole + (field to value)).toString()) },
+                    "$field=$value",
+                )
             assertEquals(field, error.message?.substringBefore(':'))
         }
         assertThrows(MalformedException::class.java) { Submission.parse(whole.toString().replace("\"vcpus\":2.0", "\"vcpus\":1e999")) }
