Workers' leases are renewed only while every cancellation is accounted for

Cause: in an outage that all controllers share, a controller went on answering its workers without end on the word of hints.

Now one rule: leases are renewed only until cancel_s - lease_s less a margin after the time up to which every confirmed cancellation is known: by our own records (the newest answered catch-up, not a lease renewal, which tells nothing of them), or by every other controller's answer to a question of ours, as of when the question left, with all cancellations its loaded records show. Without such answers the leases lapse; no message has to arrive. Each renewal carries the stops of all tasks known to be cancelled, also while the records are older than a claim; starts wait while cancellations are not known. This replaces the two special cases for shared outages.

--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -32,7 +32,7 @@
     private val link = StateLink(kernel)
     private val ownership = Ownership(kernel, link)
     private val standing = Standing(kernel, link)
-    private val orders = Orders(kernel)
+    private val orders = Orders(kernel, standing)
     private val fleet = Fleet(kernel, link, ownership, standing, orders)
     private val observer = Observer(kernel, ownership, fleet, orders)
     private val accounting = Accounting(kernel, link, ownership, operators)
@@ -50,7 +50,6 @@
     private var toldLack = false
 
     init {
-        orders.calledOff = standing::calledOff
         ownership.reaches = { !fleet.isCutOff }
         ownership.calm = { standing.heardAllSince(kernel.now - CALM) }
     }
@@ -166,7 +165,7 @@
             kernel.call(call) { outcome ->
                 if (outcome is mintpick.net.Outcome.Answered && outcome.status == OK) {
                     standing.answeredBy(NodeId(peer.node), sent)
-                    decodeHint(outcome.body)?.let(standing::onHint)
+                    decodeHint(outcome.body)?.let { standing.onAnsweredHint(it, sent) }
                 }
             }
         }
@@ -192,6 +191,7 @@
             scheduling.lacksRoom,
             images.keys.toList(),
             kernel.replica.cancelledJobs(),
+            cancelledIsComplete = link.hasLoaded,
         )
     }
 
--- a/src/main/kotlin/mintpick/engine/Fleet.kt
+++ b/src/main/kotlin/mintpick/engine/Fleet.kt
@@ -204,8 +204,7 @@
         }
         if (!standing.mayAnswerWorkers()) return misdirected(null)
         redirects.remove(id)
-        // An old report, delivered late, gets no commands: they would be computed from what is no longer so.
-        val commands = if (fresh) orders.commandsFor(view, claim) else emptyList()
+        val commands = if (fresh) orders.answerFor(view, claim) else orders.stopsOfCancelled(view)
         if (fresh) view.answeredWith(Orders.starts(commands))
         // A copy is answered to nobody: only a report that its worker may still wait for renews the lease.
         if (awaited) view.answeredReport(kernel.now)
@@ -232,7 +231,7 @@
 
     /**
      * Exception: in a cut of our zone we keep alive what others command here, with their token, and start nothing. Only
-     * work that was called off before the cut is stopped.
+     * work that was cancelled before the cut is stopped.
      */
     private fun standIn(
         view: MachineView,
--- a/src/main/kotlin/mintpick/engine/Orders.kt
+++ b/src/main/kotlin/mintpick/engine/Orders.kt
@@ -16,21 +16,19 @@
 /** Works out the commands that bring a machine in line with the records. */
 class Orders(
     private val kernel: Kernel,
+    private val standing: Standing,
 ) {
     /** Attempts to be stopped although their jobs go on: preempted, or on a machine that is to be emptied. */
     val stopping = HashMap<AttemptId, String>()
 
-    /** Whether another controller says that a job was called off, which the records may not show us in an outage. */
-    var calledOff: (JobId) -> Boolean = { false }
-
     private val replica get() = kernel.replica
 
-    /** Empty until the records are at least as new as our [claim]. */
+    /** Only tasks of cancelled jobs are stopped until the records are at least as new as our [claim]. */
     fun commandsFor(
         view: MachineView,
         claim: Claim,
     ): List<Command> {
-        if (replica.revision < claim.version) return emptyList()
+        if (replica.revision < claim.version) return stopsOfCancelled(view)
         val wanted = replica.tasksOn(view.id)
         val reaps = ArrayList<Command>()
         val stops = ArrayList<Command>()
@@ -50,13 +48,25 @@
         return reaps + stops + starts
     }
 
-    /** What may be stopped whoever commands the machine: tasks of jobs that were called off. */
+    /**
+     * What the answer to a report carries: each renewal of a lease comes with the stops of all cancelled tasks that the
+     * machine has shown. Starts that were not sent at once wait while a cancellation could have been confirmed unknown to us.
+     */
+    fun answerFor(
+        view: MachineView,
+        claim: Claim,
+    ): List<Command> {
+        val commands = commandsFor(view, claim)
+        return if (standing.mayStartTasks()) commands else commands.filter { it.verb != Verb.START }
+    }
+
+    /** What may be stopped whoever commands the machine: tasks of cancelled jobs. */
     fun stopsOfCancelled(view: MachineView): List<Command> =
         view.reported
             .filter { (attempt, task) -> task.state != TaskState.EXITED && isCancelled(attempt.task.job) }
             .map { (attempt, _) -> command(Verb.STOP, attempt, 0) }
 
-    private fun isCancelled(job: JobId): Boolean = replica.job(job)?.stage == StoredStage.CANCELLED || calledOff(job)
+    private fun isCancelled(job: JobId): Boolean = replica.job(job)?.stage == StoredStage.CANCELLED || standing.cancelledElsewhere(job)
 
     private fun mayStart(
         view: MachineView,
@@ -64,7 +74,7 @@
         attempt: AttemptId,
     ): Boolean {
         val job = replica.job(attempt.task.job) ?: return false
-        return job.stage == StoredStage.OPEN && !calledOff(job.id) && attempt !in stopping && !isEmptying(view, claim)
+        return job.stage == StoredStage.OPEN && !standing.cancelledElsewhere(job.id) && attempt !in stopping && !isEmptying(view, claim)
     }
 
     private fun retiring(view: MachineView): Retiring = replica.machines[view.id]?.record?.retiring ?: Retiring.NO
@@ -89,7 +99,8 @@
         isWanted: Boolean,
     ): Command? {
         val job = replica.job(attempt.task.job)
-        if (!isWanted || job == null || job.stage != StoredStage.OPEN || calledOff(job.id)) return command(Verb.STOP, attempt, 0)
+        val goesOn = isWanted && job?.stage == StoredStage.OPEN && !standing.cancelledElsewhere(job.id)
+        if (job == null || !goesOn) return command(Verb.STOP, attempt, 0)
         val leaves = attempt in stopping || leavesWithMachine(view, claim, job.spec.isService, job.spec.estimateS)
         if (!leaves || task.state == TaskState.SAVING) return null
         val left = view.noticeEndsUs?.let { (it - kernel.now) / SECOND / 2 } ?: MAX_GRACE_S
--- a/src/main/kotlin/mintpick/engine/Replica.kt
+++ b/src/main/kotlin/mintpick/engine/Replica.kt
@@ -98,7 +98,7 @@
     /** Open jobs with tasks that wait. */
     fun waitingJobs(): List<Job> = waitingIds.mapNotNull { jobMap[it] }
 
-    /** Jobs that were called off and have tasks left. */
+    /** Cancelled jobs that have tasks left. */
     fun cancelledJobs(): List<String> = jobMap.values.filter { it.stage == StoredStage.CANCELLED }.map { it.id.text }
 
     fun job(id: JobId): Job? = jobMap[id]
--- a/src/main/kotlin/mintpick/engine/Standing.kt
+++ b/src/main/kotlin/mintpick/engine/Standing.kt
@@ -7,7 +7,6 @@
 import mintpick.core.NodeId
 import mintpick.core.SECOND
 import mintpick.wire.PeerHint
-import mintpick.wire.StoredStage
 
 /** Whether this controller should act, judged from its own contact with the state service and its peers' hints. */
 class Standing(
@@ -32,10 +31,15 @@
 
     private val peers = HashMap<NodeId, Heard>()
     private val contacts = HashMap<NodeId, Contact>()
-    private val calledOff = HashSet<String>()
 
-    /** Until when an outage was known to be shared by all controllers. */
-    private var sharedUntil: Micros = 0
+    /** Cancelled jobs that other controllers told of, by when we were told. */
+    private val cancelledElsewhere = HashMap<JobId, Micros>()
+
+    /**
+     * By controller, when our newest question left that it answered with all cancellations that its records show. A
+     * controller confirms a cancellation only once its own records show it, so none that it confirmed before is unknown here.
+     */
+    private val cancellationsKnownFrom = HashMap<NodeId, Micros>()
     private val absentSince = HashMap<NodeId, Micros>()
 
     /** [node] has answered a hint that left at [sentUs], so it had heard us by then. */
@@ -51,44 +55,51 @@
 
     /** To be called in each step: notes which peers the state service has no lease of any more, while it serves us. */
     fun tick() {
-        if (!healthy()) {
-            noteShared()
-            return absentSince.clear()
-        }
-        // What the records show needs no hint any more.
-        if (calledOff.isNotEmpty()) calledOff.removeIf { kernel.replica.job(JobId(it))?.stage != StoredStage.OPEN }
+        forgetCancelledElsewhere()
+        if (!healthy()) return absentSince.clear()
         for (peer in kernel.settings.peers) {
             val node = NodeId(peer.node)
             if (node in kernel.replica.nodes) absentSince.remove(node) else absentSince.putIfAbsent(node, kernel.now)
         }
     }
 
+    /** What our own records are new enough to show needs no word of others any more. */
+    private fun forgetCancelledElsewhere() {
+        val known = link.recordsKnownUs ?: return
+        if (cancelledElsewhere.isNotEmpty()) cancelledElsewhere.values.removeIf { it < known }
+    }
+
+    /** Whether another controller has told us of a cancellation of [job] that our records may not show yet. */
+    fun cancelledElsewhere(job: JobId): Boolean = job in cancelledElsewhere
+
+    /**
+     * A peer's answer to a hint of ours that left at [sentUs]. Only this counts as its account of cancellations: a hint
+     * that it sends by itself may have been held up on its way, and is then as old as its sending.
+     */
+    fun onAnsweredHint(
+        hint: PeerHint,
+        sentUs: Micros,
+    ) {
+        onHint(hint)
+        if (hint.cancelledIsComplete) cancellationsKnownFrom.merge(NodeId(hint.node), sentUs, ::maxOf)
+    }
+
     /**
-     * In an outage that all controllers share nobody confirms a cancellation, and what was confirmed before they tell each
-     * other. One that is not heard may be served, and what it confirms we could not know: hearing some others only, two
-     * controllers in a cut zone once would have kept cancelled tasks for as long as the cut.
+     * No controller confirmed a cancellation before this time that we do not know of: by our own records, or by what
+     * every other controller has answered since. A controller that was not heard, or that has started anew and could not
+     * load the records yet, may have confirmed any.
      */
-    private fun noteShared() {
-        val served = link.lastServedUs ?: return
-        val heard = kernel.settings.peers.map { peers[NodeId(it.node)] ?: return }
-        val since = heard.minOfOrNull { it.atUs } ?: kernel.now
-        val gap = since - maxOf(served, sharedUntil)
-        // A peer that has started anew can't say when it was served: it must have been heard all the time.
-        val told = gap < FRESH || heard.all { it.hint.stateAgeUs >= 0 }
-        if (told &&
-            kernel.now - since < FRESH &&
-            heard.none { it.atUs - it.hint.stateAgeUs > served + HAND_OVER_AGE && it.hint.stateAgeUs >= 0 }
-        ) {
-            sharedUntil = since
-        }
+    private fun cancellationsKnownUs(): Micros {
+        val told = kernel.settings.peers.minOfOrNull { cancellationsKnownFrom[NodeId(it.node)] ?: 0 } ?: kernel.now
+        return maxOf(link.recordsKnownUs ?: 0, told)
     }
 
-    /** Whether another controller has told us, since the state service last served us, that [job] was called off. */
-    fun calledOff(job: JobId): Boolean = job.text in calledOff
+    /** Whether a task may still be started: not when its cancellation may have been confirmed for longer than a moment. */
+    fun mayStartTasks(): Boolean = kernel.now - cancellationsKnownUs() < HAND_OVER_AGE
 
     fun onHint(hint: PeerHint) {
         if (kernel.settings.peers.none { it.node == hint.node }) return
-        if (!healthy()) calledOff += hint.cancelled
+        hint.cancelled.forEach { cancelledElsewhere[JobId(it)] = kernel.now }
         val node = NodeId(hint.node)
         val before = peers[node]
         val since = if (before != null && kernel.now - before.atUs < FRESH) before.sinceUs else kernel.now
@@ -176,16 +187,16 @@
         peers.values.any { kernel.now - it.atUs < FRESH && it.hint.stateAgeUs in 0..SERVED_AGE && it.atUs > (link.lastServedUs ?: 0) }
 
     /**
-     * Cut off from the state service we keep our workers, unless a peer could serve them, or a cancellation
-     * that we can't hear of might be overdue: then their leases must lapse in time.
+     * Cut off from the state service we keep our workers, unless a peer could serve them, or a cancellation that we do
+     * not know of might be overdue: then their leases must lapse in time. No message has to arrive for that; without one
+     * the leases end.
      */
     fun mayAnswerWorkers(): Boolean {
-        if (stateAgeUs < HAND_OVER_AGE) return true
-        if (peersServed()) return false
-        return kernel.now - maxOf(link.lastServedUs ?: 0, sharedUntil) < blindUs
+        if (kernel.now - cancellationsKnownUs() >= blindUs) return false
+        return stateAgeUs < HAND_OVER_AGE || !peersServed()
     }
 
-    /** How long a controller that the state service does not serve may renew leases: see [mayAnswerWorkers]. */
+    /** For how long leases may be renewed without news of cancellations: see [mayAnswerWorkers]. */
     private val blindUs: Micros = kernel.settings.cancelUs - kernel.settings.leaseUs - CANCEL_MARGIN
 
     /**
@@ -194,9 +205,8 @@
      * cancellation that we can't know of is not overdue. [standInUntil] is what [owner] takes into account for it.
      */
     fun mayStandInFor(owner: NodeId): Boolean {
-        val served = link.lastServedUs ?: return false
-        val age = kernel.now - served
-        return age >= HAND_OVER_AGE && age < blindUs && !hears(owner) && !peersServed()
+        if (stateAgeUs < HAND_OVER_AGE || hears(owner) || peersServed()) return false
+        return kernel.now - (link.recordsKnownUs ?: return false) < blindUs
     }
 
     /**
--- a/src/main/kotlin/mintpick/engine/StateLink.kt
+++ b/src/main/kotlin/mintpick/engine/StateLink.kt
@@ -42,6 +42,13 @@
     /** When the state service last served a request of ours, measured when the request left. */
     var lastServedUs: Micros? = null
         private set
+
+    /**
+     * Everything that was committed before this time is in the replica: when the newest answered catch-up left. Null before
+     * the first one. Unlike [lastServedUs] it does not move with lease renewals, which tell nothing of the records.
+     */
+    var recordsKnownUs: Micros? = null
+        private set
     private var lastFailedUs: Micros = 0
     var servingSinceUs: Micros = 0
         private set
@@ -60,6 +67,7 @@
     private var nextFollowUs: Micros = 0
     private var nextTouchUs: Micros = 0
     private var nextCatchUpUs: Micros = 0
+    private var nextRefreshUs: Micros = 0
     private var backOffUntil: Micros = 0
     private var catchUpWaiters = ArrayList<(Boolean) -> Unit>()
     var transactionsOpen = 0
@@ -81,9 +89,21 @@
             Phase.SERVING -> renew()
         }
         if (phase != Phase.LOADING && !followOpen && now >= nextFollowUs && requests.take(now, 1.0)) follow()
+        refresh()
         startCatchUp()
     }
 
+    /** Keeps [recordsKnownUs] recent while nobody asks: how long workers may be answered in an outage depends on it. */
+    private fun refresh() {
+        if (phase == Phase.LOADING || kernel.now < nextRefreshUs) return
+        nextRefreshUs = kernel.now + REFRESH_EVERY
+        if (kernel.now - (recordsKnownUs ?: 0) >= REFRESH_EVERY / 2) catchUpWaiters += { }
+    }
+
+    private fun recordsKnown(sentUs: Micros) {
+        recordsKnownUs = maxOf(recordsKnownUs ?: 0, sentUs)
+    }
+
     /** Latency of answered requests other than watches, in microseconds. */
     private val latency = Histogram(LATENCY_MAX, 2)
 
@@ -217,7 +237,7 @@
                 // A watch stays open through an outage, so only its answer says that the service serves.
                 if (result is StateResult.Ok) lastServedUs = maxOf(lastServedUs ?: 0, kernel.now - MILLI) else note(sent, result)
                 nextFollowUs = kernel.now + if (result is StateResult.Ok) FOLLOW_GAP else RETRY
-                take(result)
+                if (take(result)) recordsKnown(sent)
             }
         }
     }
@@ -226,6 +246,8 @@
         if (result is StateResult.Gone) {
             LOG.warn("watch too old revision={}", kernel.replica.revision)
             kernel.forgetReplica()
+            recordsKnownUs = null
+            nextRefreshUs = 0
             phase = Phase.LOADING
             followGeneration++
             followOpen = false
@@ -261,11 +283,14 @@
         catchUpWaiters = ArrayList()
         val sent = kernel.now
         nextCatchUpUs = sent + CATCH_UP_GAP
+        val generation = followGeneration
         kernel.call(protocol.follow(kernel.replica.revision, 0)) { outcome ->
             catchUpBusy = false
             val result = protocol.readEvents(outcome)
             note(sent, result)
-            val ok = take(result)
+            // What was asked of records that have been forgotten since says nothing of those that are loaded now.
+            val ok = generation == followGeneration && take(result)
+            if (ok) recordsKnown(sent)
             waiters.forEach { it(ok) }
         }
     }
@@ -332,5 +357,6 @@
         private const val FOLLOW_WAIT: Micros = 10 * SECOND
         private const val FOLLOW_GAP: Micros = 120 * MILLI
         private const val CATCH_UP_GAP: Micros = 150 * MILLI
+        private const val REFRESH_EVERY: Micros = SECOND
     }
 }
--- a/src/main/kotlin/mintpick/wire/MeshApi.kt
+++ b/src/main/kotlin/mintpick/wire/MeshApi.kt
@@ -21,8 +21,10 @@
     @ProtoNumber(6) val lacksRoom: Boolean = false,
     /** Names of images, each once; [MachineHint.images] tells their places. */
     @ProtoNumber(7) val imageNames: List<String> = emptyList(),
-    /** Jobs that were called off and whose tasks are not all known to be gone. */
+    /** Cancelled jobs whose tasks are not all known to be gone. */
     @ProtoNumber(8) val cancelled: List<String> = emptyList(),
+    /** Whether [cancelled] holds all that the sender ever confirmed, in earlier lives too: it has loaded the records. */
+    @ProtoNumber(9) val cancelledIsComplete: Boolean = false,
 ) {
     fun imagesOn(machine: MachineHint): Set<String> = machine.images.mapNotNullTo(HashSet()) { imageNames.getOrNull(it) }
 }
