--- a/src/test/kotlin/mintpick/sim/AddedRulesTest.kt
+++ b/src/test/kotlin/mintpick/sim/AddedRulesTest.kt
@@ -1,7 +1,6 @@
 package mintpick.sim
 
 import mintpick.Samples
-import mintpick.core.Micros
 import mintpick.core.SECOND
 import mintpick.wire.JobKind
 import mintpick.wire.JobSpec
@@ -169,7 +168,9 @@
                         }
                     world.after(world.random.nextLong(60 * SECOND)) { world.user(spec, if (n % 7 == 0) 20 * SECOND else null) }
                 }
-                repeat(8) { world.after(5 * SECOND + world.random.nextLong(95 * SECOND)) { world.trouble() } }
+                repeat(
+                    8,
+                ) { world.after(5 * SECOND + world.random.nextLong(95 * SECOND)) { world.draw(ALL_TROUBLES, 2 * SECOND, 20 * SECOND) } }
                 world.after(120 * SECOND) { world.rules.calmSinceUs = world.now }
                 world.run(300 * SECOND)
                 world.rules.checkServed(world.now)
@@ -182,35 +183,6 @@
             }
         }
 
-    private fun World.trouble() {
-        val node = nodes[random.nextInt(nodes.size)]
-        val span: Micros = 2 * SECOND + random.nextLong(18 * SECOND)
-        when (random.nextInt(6)) {
-            0 -> node.crash(random.nextLong(SECOND / 2))
-            1 -> nodes.forEach { it.crash(random.nextLong(SECOND)) }
-            2 -> {
-                val worker = workers.values.toList().let { if (it.isEmpty()) return else it[random.nextInt(it.size)] }
-                worker.deaf = true
-                after(span) { worker.deaf = false }
-            }
-            3 -> {
-                node.cutFromState = true
-                node.cutFromPeers = true
-                after(span * 2) {
-                    node.cutFromState = false
-                    node.cutFromPeers = false
-                }
-            }
-            4 -> workers.values.filter { random.nextInt(4) == 0 }.forEach { it.hangingUntilUs = now + random.nextLong(SECOND / 2) }
-            else -> {
-                // Mid-election: the others' claims lapse while they start.
-                state.out = true
-                after(SECOND) { nodes.forEach { it.crash(random.nextLong(SECOND / 3)) } }
-                after(3 * SECOND) { state.out = false }
-            }
-        }
-    }
-
     /**
      * Controllers that refuse each other's connections are all alive: each took whole shards from the others, who took
      * them back with the next report, and hundreds of tasks were killed by leases that nobody's answers renewed.
--- a/src/test/kotlin/mintpick/sim/ModelTest.kt
+++ b/src/test/kotlin/mintpick/sim/ModelTest.kt
@@ -61,7 +61,9 @@
             DynamicTest.dynamicTest("seed $seed") {
                 val world = world(seed, Luck(lost = 4, lostAnswer = 4, late = 6))
                 world.jobs(24, 60 * SECOND)
-                repeat(9) { world.after(5 * SECOND + world.random.nextLong(100 * SECOND)) { world.trouble() } }
+                repeat(
+                    9,
+                ) { world.after(5 * SECOND + world.random.nextLong(100 * SECOND)) { world.draw(ALL_TROUBLES, 4 * SECOND, 50 * SECOND) } }
                 world.after(20 * SECOND) { world.pollUnknown("req-999999") }
                 world.run(240 * SECOND)
                 assertEquals(
@@ -242,38 +244,4 @@
                 )
             }
         }
-
-    private fun World.trouble() {
-        val node = nodes[random.nextInt(nodes.size)]
-        when (random.nextInt(10)) {
-            0 -> node.crash(random.nextLong(6 * SECOND))
-            1 -> nodes.forEach { it.crash(SECOND + random.nextLong(4 * SECOND)) }
-            2 -> {
-                state.out = true
-                after(5 * SECOND + random.nextLong(15 * SECOND)) { state.out = false }
-            }
-            3 -> {
-                node.cutFromState = true
-                after(5 * SECOND + random.nextLong(30 * SECOND)) { node.cutFromState = false }
-            }
-            4 -> {
-                node.cutFromWorkers = true
-                after(5 * SECOND + random.nextLong(40 * SECOND)) { node.cutFromWorkers = false }
-            }
-            5 -> workers.values.filter { random.nextInt(3) == 0 }.forEach { it.hangingUntilUs = now + random.nextLong(40 * SECOND) }
-            6 -> workers.keys.filter { random.nextInt(4) == 0 }.forEach(::remove)
-            7 -> {
-                zonesCut = true
-                after(10 * SECOND + random.nextLong(30 * SECOND)) { zonesCut = false }
-            }
-            8 -> {
-                zoneOut = listOf("north", "south")[random.nextInt(2)]
-                after(10 * SECOND + random.nextLong(50 * SECOND)) { zoneOut = null }
-            }
-            else -> {
-                cloudOut = true
-                after(20 * SECOND) { cloudOut = false }
-            }
-        }
-    }
 }
