A lost lease no longer stops the reading of all records

While a controller read all records anew, a lost lease set the phase to joining: its watch then followed from revision 0, was too old, and emptied the records in the midst of the load. It went on with the later pages, and served without the earlier ones: accepted jobs got 404.

--- a/src/main/kotlin/mintpick/engine/StateLink.kt
+++ b/src/main/kotlin/mintpick/engine/StateLink.kt
@@ -203,7 +203,8 @@
         if (lease == null) return
         LOG.warn("lease lost lease={} reason={}", lease, reason)
         lease = null
-        phase = Phase.JOINING
+        // A load goes on to its end, and joins then: following in the midst of it would empty the records once more.
+        if (phase == Phase.SERVING) phase = Phase.JOINING
     }
 
     private fun follow() {
