What ends while all records are read anew does not touch them

A catch-up that was under way when the watch was found too old was taken as if it were about the new records: its own 410 emptied them in the midst of the load, and its 200 let questions be answered with 404 from records not yet read. A registration that ended then made the controller serve before it had read any.

--- a/src/main/kotlin/mintpick/engine/StateLink.kt
+++ b/src/main/kotlin/mintpick/engine/StateLink.kt
@@ -167,8 +167,11 @@
         transact(emptyList(), listOf(write)) { result ->
             busy = false
             if (result is TransactionResult.Committed) {
-                if (phase == Phase.JOINING) servingSinceUs = kernel.now
-                phase = Phase.SERVING
+                // A load that began meanwhile serves at its own end.
+                if (phase == Phase.JOINING) {
+                    servingSinceUs = kernel.now
+                    phase = Phase.SERVING
+                }
                 LOG.info("joined lease={} revision={}", lease, result.revision)
             } else {
                 if (phase == Phase.JOINING) this.lease = null
@@ -261,12 +264,14 @@
         val waiters = catchUpWaiters
         catchUpWaiters = ArrayList()
         val sent = kernel.now
+        val generation = followGeneration
         nextCatchUpUs = sent + CATCH_UP_GAP
         kernel.call(protocol.follow(kernel.replica.revision, 0)) { outcome ->
             catchUpBusy = false
             val result = protocol.readEvents(outcome)
             note(sent, result)
-            val ok = take(result)
+            // Once the records are read anew, this answer is about those that were given up.
+            val ok = generation == followGeneration && take(result)
             waiters.forEach { it(ok) }
         }
     }
