--- a/src/test/kotlin/mintpick/sim/SimState.kt
+++ b/src/test/kotlin/mintpick/sim/SimState.kt
@@ -44,6 +44,13 @@
         private set
     var bytesWritten = 0L
         private set
+
+    /** How many of the latest changes a watch can still be told. */
+    var keptChanges = Int.MAX_VALUE
+
+    /** Watches that asked for changes no longer kept. */
+    var tooOld = 0
+        private set
     val writesByKind = HashMap<String, Int>()
     private val items = TreeMap<String, Item>()
     private val log = ArrayList<StateEvent>()
@@ -93,6 +100,10 @@
         if (route == "/follow") {
             val wait = (query["wait_ms"]?.toLong() ?: 0) * 1000
             if (out && wait == 0L) return answer(Http(503, "{}"))
+            if (log.size > keptChanges && query.getValue("since").toLong() < log[log.size - keptChanges].version - 1) {
+                tooOld++
+                return answer(Http(410, "{}"))
+            }
             watches += Watch(query.getValue("since").toLong(), now + wait, answer)
             return
         }
--- a/src/test/kotlin/mintpick/sim/World.kt
+++ b/src/test/kotlin/mintpick/sim/World.kt
@@ -121,6 +121,9 @@
     /** A zone that is cut off from everything: from the other zone, the state service, the cloud and the users. */
     var zoneOut: String? = null
 
+    /** How much longer than usual the answer to a controller's call takes. */
+    var slowAnswer: (Node, Call) -> Micros = { _, _ -> 0 }
+
     /** Calls by the address of the machine that they were for. */
     val callsTo = HashMap<String, Int>()
 
@@ -200,7 +203,7 @@
         // A packet that is held back arrives long after the sender has given up.
         val travel = if (hit(luck.late)) 2 * SECOND + random.nextLong(20 * SECOND) else delay()
         val reply: (Int, ByteArray) -> Unit = { status, body ->
-            if (!hit(luck.lostAnswer)) after(delay()) { end(Outcome.Answered(status, body)) }
+            if (!hit(luck.lostAnswer)) after(delay() + slowAnswer(from, call)) { end(Outcome.Answered(status, body)) }
         }
         after(travel) { arrive(call, reply) { end(Outcome.NotSent) } }
     }
