A malformed repeat of a submission is looked up before it gets 400

Submissions with a missing or wrong field were refused before their id was looked up, also those of jobs that had been accepted: the protocol wants 200 with the job's state for any later repeat, never 400.

--- a/src/main/kotlin/mintpick/engine/Desk.kt
+++ b/src/main/kotlin/mintpick/engine/Desk.kt
@@ -64,6 +64,20 @@
         }
     }
 
+    /** The id is looked up first: a job that was accepted never gets 400 when it is repeated. */
+    fun malformed(
+        id: JobId,
+        reason: String,
+        reply: ReplyTo,
+    ) {
+        val over = replica.final(id)
+        if (over != null) {
+            kernel.send(reply, stageAnswer(id, stageOf(over.stage)))
+        } else {
+            lookUp(id, reply) { errorAnswer(BAD_REQUEST, reason) }
+        }
+    }
+
     /** Answers with the job's stage once the records are new enough. */
     fun current(
         id: JobId,
@@ -207,6 +221,7 @@
     companion object {
         private const val OK = 200
         private const val CREATED = 201
+        private const val BAD_REQUEST = 400
         private const val NOT_FOUND = 404
         private const val UNPROCESSABLE = 422
         private const val TOO_MANY = 429
--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -88,6 +88,7 @@
     private fun handle(event: Event) {
         when (event) {
             is Event.Submit -> desk.submit(event.spec, event.reply)
+            is Event.Malformed -> desk.malformed(event.id, event.reason, event.reply)
             is Event.Poll -> desk.poll(event.id, event.reply)
             is Event.Cancel -> desk.cancel(event.id, event.reply)
             is Event.Report -> fleet.onReport(event.report, event.reply)
--- a/src/main/kotlin/mintpick/engine/Events.kt
+++ b/src/main/kotlin/mintpick/engine/Events.kt
@@ -20,6 +20,13 @@
         val reply: ReplyTo,
     ) : Event
 
+    /** A submission that breaks the format, of a job that may have been accepted before. */
+    class Malformed(
+        val id: JobId,
+        val reason: String,
+        val reply: ReplyTo,
+    ) : Event
+
     class Poll(
         val id: JobId,
         val reply: ReplyTo,
--- a/src/main/kotlin/mintpick/users/Routes.kt
+++ b/src/main/kotlin/mintpick/users/Routes.kt
@@ -116,11 +116,21 @@
             try {
                 Submission.parse(body.decodeToString())
             } catch (e: MalformedException) {
-                return respond(errorAnswer(BAD_REQUEST, e.message ?: "malformed").toResponse())
+                return malformed(e, respond)
             }
         shed(respond) { Event.Submit(spec, it) }
     }
 
+    /** A job that was accepted stays so, whatever its submission looks like when it is repeated. */
+    private fun malformed(
+        error: MalformedException,
+        respond: Respond,
+    ) {
+        val reason = error.message ?: "malformed"
+        val id = error.id ?: return respond(errorAnswer(BAD_REQUEST, reason).toResponse())
+        shed(respond) { Event.Malformed(JobId(id), reason, it) }
+    }
+
     private fun report(
         request: Request,
         respond: Respond,
--- a/src/main/kotlin/mintpick/wire/UserApi.kt
+++ b/src/main/kotlin/mintpick/wire/UserApi.kt
@@ -100,9 +100,10 @@
     val error: String,
 )
 
-/** A submission that breaks the format; [message] names the field. */
+/** A submission that breaks the format; [message] names the field, [id] the job as far as that could be read. */
 class MalformedException(
     message: String,
+    val id: String? = null,
 ) : Exception(message)
 
 /**
@@ -133,7 +134,15 @@
         fun spec(): JobSpec {
             val id = name("id")
             if (!isJobId(id)) throw MalformedException("id: not a job id")
-            return JobSpec(
+            return try {
+                spec(id)
+            } catch (e: MalformedException) {
+                throw MalformedException(e.message.orEmpty(), id)
+            }
+        }
+
+        private fun spec(id: String): JobSpec =
+            JobSpec(
                 id = id,
                 jobClass = name("sort"),
                 team = name("crew"),
@@ -164,7 +173,6 @@
                 saveS = amount("mark_cost_s"),
                 deadlineS = optional("due_s")?.let { number("due_s", it) },
             )
-        }
 
         private fun optional(field: String): JsonElement? = root[field]?.takeUnless { it is JsonNull }
 
