--- a/src/test/kotlin/mintpick/sim/SimWorker.kt
+++ b/src/test/kotlin/mintpick/sim/SimWorker.kt
@@ -64,6 +64,9 @@
     /** Results are kept: a completed task that is started again is done as soon as it has its image. */
     private val results = HashSet<String>()
 
+    /** Tasks that it runs or is about to run. */
+    fun held(): Set<String> = tasks.filterValues { it.state != TaskState.EXITED }.keys
+
     fun miss(
         commands: List<Command>,
         now: Micros,
--- a/src/test/kotlin/mintpick/sim/UserMeetingsTest.kt
+++ b/src/test/kotlin/mintpick/sim/UserMeetingsTest.kt
@@ -16,12 +16,16 @@
 import mintpick.store.Keys
 import mintpick.store.RecordCodec
 import mintpick.wire.Change
+import mintpick.wire.JobSpec
+import mintpick.wire.JobStage
 import mintpick.wire.StoredStage
 import mintpick.wire.Transaction
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
 import java.util.SplittableRandom
 
 /** What users ask, in the moments in which something else happens to their jobs, and what they are told. */
@@ -33,6 +37,158 @@
 
     private fun id(n: Int) = "req-%06d".format(n)
 
+    private fun World.clean() = assertEquals(emptyList<String>(), rules.breaches.distinct().take(5))
+
+    private fun batch(
+        n: Int,
+        tasks: Int = 1,
+        estimateS: Double = 4.0,
+    ): JobSpec = Samples.spec(id(n), team = "blue", tasks = tasks, cpus = 1.0, estimateS = estimateS)
+
+    /** Meeting 5: each write's guard, and room for submissions, when a quarter of a stream of jobs is called off. */
+    @Test
+    fun `one-task jobs come four a second and a quarter is cancelled`() {
+        val world = world(105, Size(machines = 30))
+        val users = UserTroubles(world)
+        (1..480).forEach { n ->
+            val cancelUs = if (n % 4 == 0) world.random.nextLong(6 * SECOND) else null
+            world.after(n * SECOND / 4) { world.user(batch(n), cancelUs) }
+        }
+        world.after(100 * SECOND) { world.rules.calmSinceUs = world.now }
+        world.after(SECOND) { users.watchWaiting() }
+        world.run(220 * SECOND)
+        world.clean()
+        assertEquals(480, (1..480).count { world.rules.isFinal(id(it)) })
+    }
+
+    /** Meeting 8: an answer from a copy of the records that another node's answer has overtaken. */
+    @Test
+    fun `close looks at all nodes never see an older answer`() {
+        val world = world(108, Size(machines = 20))
+        val users = UserTroubles(world)
+        (1..60).forEach { n ->
+            val cancelUs = listOf(null, 0L, 3 * MILLI, 2 * SECOND)[n % 4]
+            world.after(10 * SECOND + n * SECOND / 2) { users.begin(batch(n, tasks = 1 + n % 3, estimateS = 2.0), cancelUs) }
+        }
+        world.run(100 * SECOND)
+        world.clean()
+        assertEquals(60, (1..60).count { world.rules.isFinal(id(it)) })
+        assertTrue(users.answers.getValue("look 200") > 2000 && users.answers.getValue("repeat 200") > 1000, "${users.answers}")
+    }
+
+    /** Meeting 14: a cancellation that is written beside the record of the job's end. */
+    @Test
+    fun `cancellations, questions and repeated submissions meet the end of a job's last task`() {
+        val world = world(114, Size(machines = 20))
+        val users = UserTroubles(world)
+        users.cancelAtEnd(50)
+        (1..80).forEach { n -> world.after(10 * SECOND + n * SECOND / 3) { world.user(batch(n, 1 + n % 4, 2.0), null) } }
+        world.run(100 * SECOND)
+        world.clean()
+        assertTrue(users.calledOffAtEnd.size > 20, "${users.calledOffAtEnd.size} called off at their end")
+        assertEquals(80, (1..80).count { world.rules.isFinal(id(it)) })
+    }
+
+    /** Many running jobs called off at once while their machines hang: what goes on there must be stopped in time. */
+    @TestFactory
+    fun `running jobs are called off at once while their machines hang`() =
+        listOf(3L, 12L, 17L, 30L).map { hangS ->
+            DynamicTest.dynamicTest("for $hangS s") {
+                val world = world(120 + hangS)
+                val users = UserTroubles(world)
+                (1..40).forEach { n -> world.user(batch(n, tasks = 2, estimateS = 500.0), null) }
+                world.run(60 * SECOND)
+                users.cancelNow(25, hangS * SECOND)
+                world.run(120 * SECOND)
+                world.clean()
+                assertTrue(users.calledOff.size > 15 && users.hung.size > 3, "${users.calledOff.size} on ${users.hung.size}")
+                assertTrue(users.calledOff.all { job -> world.rules.isFinal(job) })
+                assertEquals(emptyList<Long>(), world.rules.startsAfterCancel.filter { it > 2 * SECOND })
+            }
+        }
+
+    /** Meeting 24: a cancellation that one controller has taken while the machines or the work pass to another. */
+    @TestFactory
+    fun `jobs are cancelled while work changes hands`() =
+        mapOf<String, (World) -> Unit>(
+            "restart" to { it.nodes[0].crash(SECOND / 5) },
+            "long absence" to { it.nodes[0].crash(12 * SECOND) },
+            "no state service" to { world ->
+                world.nodes[0].cutFromState = true
+                world.after(9 * SECOND) { world.nodes[0].cutFromState = false }
+            },
+            "deposed" to { world ->
+                world.nodes[0].cutFromState = true
+                world.nodes[0].cutFromPeers = true
+                world.after(15 * SECOND) {
+                    world.nodes[0].cutFromState = false
+                    world.nodes[0].cutFromPeers = false
+                }
+            },
+        ).map { (name, trouble) ->
+            DynamicTest.dynamicTest(name) {
+                val world = world(124, Size(machines = 20))
+                val users = UserTroubles(world)
+                (1..60).forEach { n -> world.user(batch(n, tasks = 2, estimateS = 500.0), null) }
+                world.run(50 * SECOND)
+                val before = world.claims()
+                trouble(world)
+                (1..48).forEach { n -> world.after(n * SECOND / 4) { users.cancel(id(n), n % World.NODES) } }
+                world.run(140 * SECOND)
+                world.clean()
+                assertTrue(world.claims() > before, "nothing changed hands")
+                assertTrue((1..48).all { world.rules.isFinal(id(it)) })
+                assertEquals(emptyList<Long>(), world.rules.startsAfterCancel.filter { it > 2 * SECOND })
+            }
+        }
+
+    /** How often parts or machines have been claimed or borrowed. */
+    private fun World.claims(): Int = listOf("s", "b").sumOf { state.writesByKind[it] ?: 0 }
+
+    /** An accepted job's repeated submission got 400 for its missing field, and lost the job for its user. */
+    @Test
+    fun `odd requests get the protocol's answer in each phase of a controller`() {
+        val world = world(125)
+        val users = UserTroubles(world)
+        val job = batch(1, estimateS = 500.0)
+        val over = batch(2, estimateS = 1.0)
+        // Nothing is known yet: nobody may be told anything final.
+        var next = users.oddRequests(batch(0), 1000)
+        world.run(SECOND / 2)
+        listOf(job, over).forEach { world.user(it, null) }
+        world.run(30 * SECOND)
+        assertTrue(world.rules.isFinal(over.id))
+        val phases =
+            listOf<(Boolean) -> Unit>(
+                { },
+                { on -> world.nodes[0].cutFromState = on },
+                { on -> world.state.out = on },
+                { on -> if (on) world.nodes.forEach { it.crash(SECOND / 2) } },
+                { on -> if (on) world.nodes[1].crash(8 * SECOND) },
+            )
+        for (phase in phases) {
+            phase(true)
+            for (n in 1..8) {
+                next = users.oddRequests(batch(0), next)
+                listOf(job, over).forEach { users.repeatOddly(it) }
+                repeat(World.NODES) { users.cancel(over.id, it) }
+                users.poll(id(999), n % World.NODES, "unknown")
+                world.run(world.now + SECOND / 2)
+            }
+            phase(false)
+            world.run(world.now + 15 * SECOND)
+        }
+        world.clean()
+        assertEquals(setOf("400", "503"), users.statuses("malformed"))
+        assertEquals(setOf("422", "503"), users.statuses("impossible"))
+        assertEquals(setOf("200", "503"), users.statuses("odd repeat"))
+        assertEquals(setOf("404", "503"), users.statuses("unknown"))
+        assertEquals(JobStage.DONE, world.rules.stageOf(over.id))
+    }
+
+    private fun UserTroubles.statuses(kind: String): Set<String> =
+        answers.keys.filter { it.startsWith("$kind ") }.mapTo(HashSet()) { it.substringAfterLast(' ') }
+
     private val finished = (1..1200).map { id(it) }
 
     private fun World.store(
