--- a/src/main/kotlin/mintpick/engine/StateLink.kt
+++ b/src/main/kotlin/mintpick/engine/StateLink.kt
@@ -187,8 +187,11 @@
         transact(emptyList(), listOf(write)) { result ->
             busy = false
             if (result is TransactionResult.Committed) {
-                if (phase == Phase.JOINING) servingSinceUs = kernel.now
-                phase = Phase.SERVING
+                // A load that began meanwhile serves at its own end.
+                if (phase == Phase.JOINING) {
+                    servingSinceUs = kernel.now
+                    phase = Phase.SERVING
+                }
                 LOG.info("joined lease={} revision={}", lease, result.revision)
             } else {
                 if (phase == Phase.JOINING) this.lease = null
@@ -223,7 +226,8 @@
         if (lease == null) return
         LOG.warn("lease lost lease={} reason={}", lease, reason)
         lease = null
-        phase = Phase.JOINING
+        // A load goes on to its end, and joins then: following in the midst of it would empty the records once more.
+        if (phase == Phase.SERVING) phase = Phase.JOINING
     }
 
     private fun follow() {
@@ -282,13 +286,13 @@
         val waiters = catchUpWaiters
         catchUpWaiters = ArrayList()
         val sent = kernel.now
-        nextCatchUpUs = sent + CATCH_UP_GAP
         val generation = followGeneration
+        nextCatchUpUs = sent + CATCH_UP_GAP
         kernel.call(protocol.follow(kernel.replica.revision, 0)) { outcome ->
             catchUpBusy = false
             val result = protocol.readEvents(outcome)
             note(sent, result)
-            // What was asked of records that have been forgotten since says nothing of those that are loaded now.
+// Once the records are read anew, this answer is about those that were given up.
             val ok = generation == followGeneration && take(result)
             if (ok) recordsKnown(sent)
             waiters.forEach { it(ok) }
--- /dev/null
+++ b/src/test/kotlin/mintpick/sim/UserMeetingsTest.kt
@@ -0,0 +1,319 @@
+package mintpick.sim
+
+import kotlinx.serialization.json.JsonElement
+import mintpick.Samples
+import mintpick.core.JobId
+import mintpick.core.MILLI
+import mintpick.core.SECOND
+import mintpick.engine.Effect
+import mintpick.engine.Event
+import mintpick.engine.Kernel
+import mintpick.engine.ReplyTo
+import mintpick.engine.StateLink
+import mintpick.net.Answer
+import mintpick.net.Call
+import mintpick.net.Outcome
+import mintpick.store.Keys
+import mintpick.store.RecordCodec
+import mintpick.wire.Change
+import mintpick.wire.JobSpec
+import mintpick.wire.JobStage
+import mintpick.wire.StoredStage
+import mintpick.wire.Transaction
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import java.util.SplittableRandom
+
+/** What users ask, in the moments in which something else happens to their jobs, and what they are told. */
+class UserMeetingsTest {
+    private fun world(
+        seed: Long,
+        size: Size = Size(),
+    ) = World(seed, Luck(), size) { Samples.settings(it) }
+
+    private fun id(n: Int) = "req-%06d".format(n)
+
+    private fun World.clean() = assertEquals(emptyList<String>(), rules.breaches.distinct().take(5))
+
+    private fun batch(
+        n: Int,
+        tasks: Int = 1,
+        estimateS: Double = 4.0,
+    ): JobSpec = Samples.spec(id(n), team = "blue", tasks = tasks, cpus = 1.0, estimateS = estimateS)
+
+    /** Meeting 5: each write's guard, and room for submissions, when a quarter of a stream of jobs is called off. */
+    @Test
+    fun `one-task jobs come four a second and a quarter is cancelled`() {
+        val world = world(105, Size(machines = 30))
+        val users = UserTroubles(world)
+        (1..480).forEach { n ->
+            val cancelUs = if (n % 4 == 0) world.random.nextLong(6 * SECOND) else null
+            world.after(n * SECOND / 4) { world.user(batch(n), cancelUs) }
+        }
+        world.after(100 * SECOND) { world.rules.calmSinceUs = world.now }
+        world.after(SECOND) { users.watchWaiting() }
+        world.run(220 * SECOND)
+        world.clean()
+        assertEquals(480, (1..480).count { world.rules.isFinal(id(it)) })
+    }
+
+    /** Meeting 8: an answer from a copy of the records that another node's answer has overtaken. */
+    @Test
+    fun `close looks at all nodes never see an older answer`() {
+        val world = world(108, Size(machines = 20))
+        val users = UserTroubles(world)
+        (1..60).forEach { n ->
+            val cancelUs = listOf(null, 0L, 3 * MILLI, 2 * SECOND)[n % 4]
+            world.after(10 * SECOND + n * SECOND / 2) { users.begin(batch(n, tasks = 1 + n % 3, estimateS = 2.0), cancelUs) }
+        }
+        world.run(100 * SECOND)
+        world.clean()
+        assertEquals(60, (1..60).count { world.rules.isFinal(id(it)) })
+        assertTrue(users.answers.getValue("look 200") > 2000 && users.answers.getValue("repeat 200") > 1000, "${users.answers}")
+    }
+
+    /** Meeting 14: a cancellation that is written beside the record of the job's end. */
+    @Test
+    fun `cancellations, questions and repeated submissions meet the end of a job's last task`() {
+        val world = world(114, Size(machines = 20))
+        val users = UserTroubles(world)
+        users.cancelAtEnd(50)
+        (1..80).forEach { n -> world.after(10 * SECOND + n * SECOND / 3) { world.user(batch(n, 1 + n % 4, 2.0), null) } }
+        world.run(100 * SECOND)
+        world.clean()
+        assertTrue(users.calledOffAtEnd.size > 20, "${users.calledOffAtEnd.size} called off at their end")
+        assertEquals(80, (1..80).count { world.rules.isFinal(id(it)) })
+    }
+
+    /** Many running jobs called off at once while their machines hang: what goes on there must be stopped in time. */
+    @TestFactory
+    fun `running jobs are called off at once while their machines hang`() =
+        listOf(3L, 12L, 17L, 30L).map { hangS ->
+            DynamicTest.dynamicTest("for $hangS s") {
+                val world = world(120 + hangS)
+                val users = UserTroubles(world)
+                (1..40).forEach { n -> world.user(batch(n, tasks = 2, estimateS = 500.0), null) }
+                world.run(60 * SECOND)
+                users.cancelNow(25, hangS * SECOND)
+                world.run(120 * SECOND)
+                world.clean()
+                assertTrue(users.calledOff.size > 15 && users.hung.size > 3, "${users.calledOff.size} on ${users.hung.size}")
+                assertTrue(users.calledOff.all { job -> world.rules.isFinal(job) })
+                assertEquals(emptyList<Long>(), world.rules.startsAfterCancel.filter { it > 2 * SECOND })
+            }
+        }
+
+    /** Meeting 24: a cancellation that one controller has taken while the machines or the work pass to another. */
+    @TestFactory
+    fun `jobs are cancelled while work changes hands`() =
+        mapOf<String, (World) -> Unit>(
+            "restart" to { it.nodes[0].crash(SECOND / 5) },
+            "long absence" to { it.nodes[0].crash(12 * SECOND) },
+            "no state service" to { world ->
+                world.nodes[0].cutFromState = true
+                world.after(9 * SECOND) { world.nodes[0].cutFromState = false }
+            },
+            "deposed" to { world ->
+                world.nodes[0].cutFromState = true
+                world.nodes[0].cutFromPeers = true
+                world.after(15 * SECOND) {
+                    world.nodes[0].cutFromState = false
+                    world.nodes[0].cutFromPeers = false
+                }
+            },
+        ).map { (name, trouble) ->
+            DynamicTest.dynamicTest(name) {
+                val world = world(124, Size(machines = 20))
+                val users = UserTroubles(world)
+                (1..60).forEach { n -> world.user(batch(n, tasks = 2, estimateS = 500.0), null) }
+                world.run(50 * SECOND)
+                val before = world.claims()
+                trouble(world)
+                (1..48).forEach { n -> world.after(n * SECOND / 4) { users.cancel(id(n), n % World.NODES) } }
+                world.run(140 * SECOND)
+                world.clean()
+                assertTrue(world.claims() > before, "nothing changed hands")
+                assertTrue((1..48).all { world.rules.isFinal(id(it)) })
+                assertEquals(emptyList<Long>(), world.rules.startsAfterCancel.filter { it > 2 * SECOND })
+            }
+        }
+
+    /** How often parts or machines have been claimed or borrowed. */
+    private fun World.claims(): Int = listOf("s", "b").sumOf { state.writesByKind[it] ?: 0 }
+
+    /** An accepted job's repeated submission got 400 for its missing field, and lost the job for its user. */
+    @Test
+    fun `odd requests get the protocol's answer in each phase of a controller`() {
+        val world = world(125)
+        val users = UserTroubles(world)
+        val job = batch(1, estimateS = 500.0)
+        val over = batch(2, estimateS = 1.0)
+        // Nothing is known yet: nobody may be told anything final.
+        var next = users.oddRequests(batch(0), 1000)
+        world.run(SECOND / 2)
+        listOf(job, over).forEach { world.user(it, null) }
+        world.run(30 * SECOND)
+        assertTrue(world.rules.isFinal(over.id))
+        val phases =
+            listOf<(Boolean) -> Unit>(
+                { },
+                { on -> world.nodes[0].cutFromState = on },
+                { on -> world.state.out = on },
+                { on -> if (on) world.nodes.forEach { it.crash(SECOND / 2) } },
+                { on -> if (on) world.nodes[1].crash(8 * SECOND) },
+            )
+        for (phase in phases) {
+            phase(true)
+            for (n in 1..8) {
+                next = users.oddRequests(batch(0), next)
+                listOf(job, over).forEach { users.repeatOddly(it) }
+                repeat(World.NODES) { users.cancel(over.id, it) }
+                users.poll(id(999), n % World.NODES, "unknown")
+                world.run(world.now + SECOND / 2)
+            }
+            phase(false)
+            world.run(world.now + 15 * SECOND)
+        }
+        world.clean()
+        assertEquals(setOf("400", "503"), users.statuses("malformed"))
+        assertEquals(setOf("422", "503"), users.statuses("impossible"))
+        assertEquals(setOf("200", "503"), users.statuses("odd repeat"))
+        assertEquals(setOf("404", "503"), users.statuses("unknown"))
+        assertEquals(JobStage.DONE, world.rules.stageOf(over.id))
+    }
+
+    private fun UserTroubles.statuses(kind: String): Set<String> =
+        answers.keys.filter { it.startsWith("$kind ") }.mapTo(HashSet()) { it.substringAfterLast(' ') }
+
+    private val finished = (1..1200).map { id(it) }
+
+    private fun World.store(
+        keys: List<String>,
+        value: JsonElement,
+    ) = keys.chunked(100).forEach { part -> state.transact(Transaction(emptyList(), part.map { Change(put = it, value = value) })) }
+
+    /**
+     * Cuts a controller from the state service until its watch is too old, and asks it afterwards about three pages of
+     * jobs that were done before; [slowMs] says how slow the state service answers its calls then.
+     */
+    private fun readAnew(
+        cutMs: Long,
+        slowMs: (Call) -> Long,
+    ) {
+        val world = world(101)
+        val over = RecordCodec.finalJson(StoredStage.DONE, 1)
+        world.store(finished.map(Keys::job), over)
+        world.state.keptChanges = 100
+        world.run(10 * SECOND)
+        val node = world.nodes[0]
+        node.cutFromState = true
+        world.run(10 * SECOND + cutMs * MILLI)
+        world.store((2000..2200).map { Keys.job(id(it)) }, over)
+        world.slowAnswer = { from, call -> if (from === node) slowMs(call) * MILLI else 0 }
+        node.cutFromState = false
+        val answers = ArrayList<Answer>()
+        val ask: (String) -> Unit = { job -> node.deliver(Event.Poll(JobId(job), ReplyTo { answers += it })) }
+        world.run(world.now + 8 * SECOND)
+        assertTrue(world.state.tooOld > 0, "no watch was too old")
+        finished.forEach(ask)
+        world.run(world.now + 2 * SECOND)
+        assertEquals(0, answers.count { it.status == 404 }, "cut for $cutMs ms")
+        assertTrue(answers.count { it.status == 200 } >= finished.size, "${answers.size} answers")
+    }
+
+    /**
+     * A controller whose watch is too old reads all records anew. Its lost lease once made it follow from nothing in the
+     * midst of that: the records were emptied once more, and jobs of the pages read before were answered with 404.
+     */
+    @Test
+    fun `a controller that loses its lease while it reads all records anew forgets no job`() =
+        (12_000L..12_750L step 250).forEach { cut ->
+            readAnew(cut) { call ->
+                when {
+                    call.path.endsWith("/touch") -> 900
+                    call.path.startsWith("/keys") -> 300
+                    else -> 0
+                }
+            }
+        }
+
+    /** A controller's link to the state service, whose calls the test answers in the order it likes. */
+    private class ScriptedLink {
+        val kernel = Kernel(Samples.settings(0), SplittableRandom(1))
+        val link = StateLink(kernel)
+        private val open = LinkedHashMap<Long, Call>()
+        private var now = 0L
+
+        private fun step() {
+            now += 200 * MILLI
+            kernel.begin(now, now)
+            link.tick()
+            kernel.takeEffects().filterIsInstance<Effect.Start>().forEach { open[it.id] = it.call }
+        }
+
+        fun answer(
+            path: String,
+            status: Int,
+            body: String,
+        ) {
+            step()
+            val id = open.entries.first { path in it.value.path }.key
+            open -= id
+            kernel.callDone(id, Outcome.Answered(status, body.encodeToByteArray()))
+        }
+
+        fun page(
+            job: Int,
+            more: Boolean,
+        ) = answer(
+            "/keys?",
+            200,
+            """{"pairs":[{"key":"${Keys.job("req-$job")}","v":${RecordCodec.finalJson(StoredStage.DONE, 1)},"stamp":$job}],
+               "has_next":$more,"ledger_rev":9}""",
+        )
+
+        /** Loads job 1, and joins. */
+        fun serve() {
+            page(1, more = false)
+            answer("/leases", 200, """{"tenure":7}""")
+            answer("/multi", 200, """{"ledger_rev":10}""")
+            assertTrue(link.serving)
+        }
+    }
+
+    /**
+     * A catch-up whose answer came while all records were read anew once emptied them in the midst of that, or let
+     * questions be answered from them: either way jobs that were accepted got 404.
+     */
+    @Test
+    fun `a catch-up that is answered while all records are read anew proves nothing and empties nothing`() {
+        for ((status, body) in listOf(410 to "{}", 200 to """{"ledger_rev":12,"log":[]}""")) {
+            val script = ScriptedLink().apply { serve() }
+            val caughtUp = ArrayList<Boolean>()
+            script.link.caughtUp { caughtUp += it }
+            script.answer("wait_ms=10000", 410, "{}")
+            script.page(1, more = true)
+            script.answer("wait_ms=0", status, body)
+            script.page(2, more = false)
+            assertEquals(listOf(false), caughtUp, "answered with $status")
+            assertTrue((1..2).all { script.kernel.replica.knows(JobId("req-$it")) }, "answered with $status")
+        }
+    }
+
+    /** Joining that ended while all records were read anew once made a controller serve from none. */
+    @Test
+    fun `a controller that joins while it must read all records anew does not serve before it has`() {
+        val script = ScriptedLink()
+        script.page(1, more = false)
+        script.answer("/leases", 200, """{"tenure":7}""")
+        script.answer("wait_ms=10000", 410, "{}")
+        script.answer("/multi", 200, """{"ledger_rev":10}""")
+        assertFalse(script.link.serving)
+        script.page(1, more = false)
+        assertTrue(script.link.serving)
+    }
+}
--- a/src/test/kotlin/mintpick/sim/World.kt
+++ b/src/test/kotlin/mintpick/sim/World.kt
@@ -121,6 +121,12 @@
     /** A zone that is cut off from everything: from the other zone, the state service, the cloud and the users. */
     var zoneOut: String? = null
 
+    /** How much longer than usual the answer to a controller's call takes. */
+    var slowAnswer: (Node, Call) -> Micros = { _, _ -> 0 }
+
+    /** Hears which jobs' last tasks are done, as that happens. */
+    var onLastTaskDone: (String) -> Unit = {}
+
     /** Calls by the address of the machine that they were for. */
     val callsTo = HashMap<String, Int>()
 
@@ -200,7 +206,7 @@
         // A packet that is held back arrives long after the sender has given up.
         val travel = if (hit(luck.late)) 2 * SECOND + random.nextLong(20 * SECOND) else delay()
         val reply: (Int, ByteArray) -> Unit = { status, body ->
-            if (!hit(luck.lostAnswer)) after(delay()) { end(Outcome.Answered(status, body)) }
+            if (!hit(luck.lostAnswer)) after(delay() + slowAnswer(from, call)) { end(Outcome.Answered(status, body)) }
         }
         after(travel) { arrive(call, reply) { end(Outcome.NotSent) } }
     }
@@ -484,7 +490,12 @@
         task: String,
         completed: Boolean,
         now: Micros,
-    ) = rules.left(task, completed)
+    ) {
+        val job = task.substringBeforeLast('/')
+        val wasComplete = rules.isComplete(job)
+        rules.left(task, completed)
+        if (!wasComplete && rules.isComplete(job)) onLastTaskDone(job)
+    }
 
     override fun runTimeUs(task: String): Micros? {
         val spec = rules.spec(task.substringBeforeLast('/')) ?: return null
