A start that got no answer stays open until the token or session rises

Cause: a machine's view kept one entry for each attempt's direct start. When a start got no answer and was sent again with the same token (the call that was waiting for the first one went out at once), the answer to the repetition removed the entry of both. No token was raised, the attempt could be stopped, recorded and forgotten, and the first start, carried out late, ran it again: after its cancellation, or beside its successor.

--- a/src/main/kotlin/mintpick/core/MachineView.kt
+++ b/src/main/kotlin/mintpick/core/MachineView.kt
@@ -36,8 +36,10 @@
     private class OpenLaunch(
         val token: Long,
         val session: Long,
-        var inFlight: Boolean,
-    )
+    ) {
+        /** A command with an older session or token is dropped from now on, however late it arrives. */
+        fun isRefusedAfter(report: MachineReport): Boolean = report.session > session || report.token > token
+    }
 
     var latest: MachineReport? = null
         private set
@@ -51,7 +53,12 @@
     var noticeEndsUs: Micros? = null
         private set
     private var tasks: Map<AttemptId, TaskReport> = emptyMap()
-    private val launches = HashMap<AttemptId, OpenLaunch>()
+
+    /** Starts sent straight to the worker that may still be answered. */
+    private val inFlight = HashMap<AttemptId, OpenLaunch>()
+
+    /** The latest start of each attempt that was not answered: it may be carried out later, whatever became of a repetition. */
+    private val lost = HashMap<AttemptId, OpenLaunch>()
 
     /** Starts that went out with the answer to the latest report; until a newer message they may be under way. */
     private var answered: Set<AttemptId> = emptySet()
@@ -103,8 +110,8 @@
         } else if (noticeEndsUs == null) {
             noticeEndsUs = now + (notice * SECOND).toLong()
         }
-        // A command with an older session or token is dropped from now on, however late it arrives.
-        launches.values.removeIf { report.session > it.session || report.token > it.token }
+        inFlight.values.removeIf { it.isRefusedAfter(report) }
+        lost.values.removeIf { it.isRefusedAfter(report) }
         return true
     }
 
@@ -114,21 +121,23 @@
         token: Long,
         session: Long,
     ) {
-        launches[attempt] = OpenLaunch(token, session, inFlight = true)
+        inFlight[attempt] = OpenLaunch(token, session)
     }
 
-    /** The start was answered, or never left: it can't be executed later. */
+    /** The latest start was answered, or never left: it can't be executed later. */
     fun launchSettled(attempt: AttemptId) {
-        launches.remove(attempt)
+        inFlight.remove(attempt)
     }
 
     /** No answer came: the start may be executed at any later time while its token and session hold. */
     fun launchLost(attempt: AttemptId) {
-        launches[attempt]?.inFlight = false
+        inFlight.remove(attempt)?.let { lost[attempt] = it }
     }
 
     /** A start without an answer on a machine that has spoken since: only a higher token makes it harmless. */
-    val needsHigherToken: Boolean get() = launches.values.any { !it.inFlight }
+    val needsHigherToken: Boolean get() = lost.isNotEmpty()
+
+    private fun isOpen(attempt: AttemptId): Boolean = attempt in inFlight || attempt in lost
 
     fun answeredWith(starts: Set<AttemptId>) {
         answered = starts
@@ -142,7 +151,7 @@
         val report = tasks[attempt]
         if (report?.state == TaskState.EXITED && report.cause == ExitCause.DONE) return Proof.Completed
         // Below our token an earlier controller's command may still be on its way.
-        if (latest == null || this.token != token || attempt in launches) return Proof.None
+        if (latest == null || this.token != token || isOpen(attempt)) return Proof.None
         return when {
             report == null -> if (attempt in answered) Proof.None else Proof.Over(null)
             report.state == TaskState.EXITED -> Proof.Over(report.cause)
@@ -174,7 +183,7 @@
     fun mayForget(
         attempt: AttemptId,
         token: Long,
-    ): Boolean = this.token == token && attempt !in launches
+    ): Boolean = this.token == token && !isOpen(attempt)
 
     /** Remembers that an image is on the machine; the oldest give way as they do there. */
     fun sawImage(
