An attempt is not forgotten while its start may be under way in an answer

Cause: MachineView.mayForget looked at direct starts alone. A start in the answer to the latest report may arrive up to four seconds later, and a direct start of the same attempt may run and be stopped meanwhile. Told to forget the attempt by a direct command, the worker then started it again with the late answer. A newer report shows that the answer has been read or given up.

--- a/src/main/kotlin/mintpick/core/MachineView.kt
+++ b/src/main/kotlin/mintpick/core/MachineView.kt
@@ -180,10 +180,11 @@
         return isLeaseOver(now, maxOf(renewedUs, heardUs), leaseUs)
     }
 
+    /** Whether the worker may forget [attempt]: no start that is still under way may bring it back. */
     fun mayForget(
         attempt: AttemptId,
         token: Long,
-    ): Boolean = this.token == token && !isOpen(attempt)
+    ): Boolean = this.token == token && !isOpen(attempt) && attempt !in answered
 
     /** Remembers that an image is on the machine; the oldest give way as they do there. */
     fun sawImage(
