A start in an answer is over with the session

Cause: only a newer report ended the doubt about starts that went out with an answer. A worker that reaches no controller sends none that arrives: although direct answers showed its next session, in which it drops that answer, nothing was proven of the attempt until its reports came again.

--- a/src/main/kotlin/mintpick/core/MachineView.kt
+++ b/src/main/kotlin/mintpick/core/MachineView.kt
@@ -103,7 +103,8 @@
             report.tasks
                 .mapNotNull { task -> TaskId.parse(task.task)?.let { AttemptId(it, task.attempt) to task } }
                 .toMap()
-        if (!direct) answered = emptySet()
+        // The worker has read that answer or given it up; in a later session it drops it.
+        if (!direct || report.session > (before?.session ?: 0)) answered = emptySet()
         val notice = report.noticeS
         if (notice == null) {
             noticeEndsUs = null
