A claim that a borrowing has outbid gives no right until it is written anew

Cause: when a borrowing ended (given back, or its controller's lease was over), the shard's owner commanded the machine again with its old claim, whose version is below the borrower's token. A start of a leader that had ended, held up on its way, was carried out after the owner had stopped that attempt, recorded it and had it forgotten; and the owner's reckoning of leases began with a token that did not shut out a borrower that went on answering. Each controller now notes at which revision a borrowing ended; an older claim commands that machine only once its owner has rewritten it, which it does at once (so far it did when a report showed the higher token, if the worker had seen it at all). The machine list's own write drops borrowings first, so that none is noted for machines that it strikes out.

--- a/src/main/kotlin/mintpick/engine/Ownership.kt
+++ b/src/main/kotlin/mintpick/engine/Ownership.kt
@@ -69,8 +69,18 @@
         return shardOf[machine]
     }
 
-    /** The record that gives the right to command [machine]: a borrowing, else its shard's claim. */
-    fun control(machine: MachineId): Claim? = replica.borrows[machine] ?: shard(machine)?.let { replica.claims[it] }
+    /**
+     * The record that gives the right to command [machine]: a borrowing, else its shard's claim. A claim that is older
+     * than the end of a borrowing gives none until it is written anew: commands of the borrower, some of them perhaps
+     * still on their way, have higher tokens.
+     */
+    fun control(machine: MachineId): Claim? =
+        replica.borrows[machine] ?: shard(machine)?.let { replica.claims[it] }?.takeIf { !isOutbid(machine, it) }
+
+    private fun isOutbid(
+        machine: MachineId,
+        claim: Claim,
+    ): Boolean = claim.version < (replica.borrowEnds[machine] ?: 0)
 
     /** Whether the claim that commands [machine] is older than what a worker needs to find its way there. */
     fun isSettled(machine: MachineId): Boolean {
@@ -111,6 +121,7 @@
         if (!link.reachable) return
         claimLeader()
         restore()
+        renewOutbid()
         claimFree()
         rebalance()
     }
@@ -144,6 +155,15 @@
         if (borrowed.isNotEmpty()) claim(borrowed.map { (machine, claim) -> Keys.borrow(machine.text) to claim.version }, "restored")
     }
 
+    /** Claims of ours that a borrowing has outbid are written anew, so that their token exceeds the borrower's. */
+    private fun renewOutbid() {
+        val shards =
+            replica.borrowEnds.keys.mapNotNullTo(HashSet()) { machine ->
+                shard(machine)?.takeIf { shard -> replica.claims[shard]?.let { isMine(it) && isOutbid(machine, it) } ?: false }
+            }
+        if (shards.isNotEmpty()) claim(shards.map { Keys.shard(it) to (replica.claims[it]?.version ?: 0) }, "outbid")
+    }
+
     private val everybody = (kernel.settings.peers.map { it.node } + kernel.settings.node).sorted().map(::NodeId)
 
     private fun live(): List<NodeId> = replica.nodes.keys.sortedBy { it.text }
--- a/src/main/kotlin/mintpick/engine/Replica.kt
+++ b/src/main/kotlin/mintpick/engine/Replica.kt
@@ -62,6 +62,9 @@
     val jobs: Collection<Job> get() = jobMap.values
     val claims = HashMap<Int, Claim>()
     val borrows = HashMap<MachineId, Claim>()
+
+    /** When borrowings ended, as revisions: all commands that were given by them have lower tokens. */
+    val borrowEnds = HashMap<MachineId, Long>()
     val machines = HashMap<MachineId, KnownMachine>()
     val nodes = HashMap<NodeId, NodeRecord>()
     val usage = HashMap<NodeId, UsageRecord>()
@@ -170,7 +173,7 @@
             is Keys.Subject.Job -> applyJob(JobId(subject.id), value, version)
             is Keys.Subject.Chunk -> applyChunk(subject, value, version)
             is Keys.Subject.Shard -> set(claims, subject.index, value) { claim(it, version) }
-            is Keys.Subject.Borrow -> set(borrows, MachineId(subject.machine), value) { claim(it, version) }
+            is Keys.Subject.Borrow -> applyBorrow(MachineId(subject.machine), value, version)
             is Keys.Subject.Machine -> {
                 set(machines, MachineId(subject.machine), value) {
                     KnownMachine(MachineId(subject.machine), WireJson.decodeFromJsonElement(MachineRecord.serializer(), it), legacy = true)
@@ -192,6 +195,15 @@
         }
     }
 
+    private fun applyBorrow(
+        machine: MachineId,
+        value: JsonElement?,
+        version: Long,
+    ) {
+        if (value == null) borrowEnds[machine] = version else borrowEnds.remove(machine)
+        set(borrows, machine, value) { claim(it, version) }
+    }
+
     private fun applyFleet(
         part: Int,
         value: JsonElement?,
@@ -200,6 +212,7 @@
         for (id in tables[part].orEmpty()) {
             if (id in after) continue
             machines.remove(id)
+            borrowEnds.remove(id)
             touched += id
         }
         for ((id, record) in after) {
--- a/src/main/kotlin/mintpick/engine/Roster.kt
+++ b/src/main/kotlin/mintpick/engine/Roster.kt
@@ -114,7 +114,8 @@
         nextUs[part] = kernel.now + EVERY
         val old = (added.keys + marked.keys + dropped.map { it.id }).filter { replica.machines[it]?.legacy == true }.take(MAX_OLD)
         val borrows = dropped.filter { it.id in replica.borrows }.take(MAX_OLD).map { Keys.borrow(it.id.text) }
-        val writes = listOf(Write(key, value)) + old.map { Write(Keys.machine(it.text), null) } + borrows.map { Write(it, null) }
+        // Borrowings first: of a machine that is struck out after them no end of a borrowing has to be kept.
+        val writes = borrows.map { Write(it, null) } + listOf(Write(key, value)) + old.map { Write(Keys.machine(it.text), null) }
         link.transact(listOf(Guard(key, replica.version(key))), writes) { result ->
             busy -= part
             if (result is TransactionResult.Committed) {
