What lapsed on a machine that reaches no controller is sent again

Cause: what is absent and still wanted on a machine goes with the answer to its next report. A machine that can't open connections to any controller sends none that arrives, while direct calls reach it: after its lease had lapsed it stayed empty, services included, until its reports got through again, with its tasks assigned to it all the while. After each inspection of a machine whose report is late it is now sent what it lacks.

--- a/src/main/kotlin/mintpick/engine/Fleet.kt
+++ b/src/main/kotlin/mintpick/engine/Fleet.kt
@@ -112,6 +112,8 @@
         return isUnreachable(machine) || kernel.now - view.heardUs > kernel.settings.reportUs * 5 / 4 + LATE
     }
 
+    private fun isReportLate(view: MachineView): Boolean = kernel.now - view.reportedUs > kernel.settings.reportUs * 5 / 4 + LATE
+
     /**
      * When a call of ours last got through to a machine in [zone], or a report from there to us: with few machines a wave
      * of hangs may leave none that we call often.
@@ -368,7 +370,8 @@
             val report = (result as? WorkerProtocol.Result.Executed)?.report
             if (report != null && view.take(report, kernel.now, direct = true)) learn(view, report)
             then(report != null)
-            if (again.remove(view.id)) push(view.id)
+            // What a machine lacks goes with the answer to its next report; where none comes, it is sent now.
+            if (again.remove(view.id) || (report != null && isReportLate(view))) push(view.id)
             report != null
         }
     }
