Messages between workers and controllers: late, lost, kept for the next leader

Stand-ins: direct commands that are held up and carried out late, copies of reports that wait for the next leader, machines that reach no controller.

--- a/src/test/kotlin/mintpick/core/MachineViewTest.kt
+++ b/src/test/kotlin/mintpick/core/MachineViewTest.kt
@@ -104,4 +104,50 @@
         view.take(report(3, token = 5), 30 * SECOND, direct = false)
         assertFalse(view.hasLapsed(late, 0, 5, lease), "heard since")
     }
+
+    /**
+     * The answer to a report is held up for seconds, a direct start of the same attempt runs and is stopped: once
+     * forgotten, the start in the late answer would run it again.
+     */
+    @Test
+    fun `an attempt is not forgotten while its start may be under way in an answer`() {
+        val view = view()
+        view.take(report(1), 1, direct = false)
+        view.answeredWith(setOf(attempt))
+        view.take(report(2, 5, 1, exited(ExitCause.STOPPED)), 2, direct = true)
+        assertFalse(view.mayForget(attempt, 5))
+        view.take(report(3, 5, 1, exited(ExitCause.STOPPED)), 3, direct = false)
+        assertTrue(view.mayForget(attempt, 5))
+    }
+
+    /**
+     * The last answer before a worker reached nobody held a start. In its next session it drops that answer, so what
+     * was called off there comes to its end before reports get through again.
+     */
+    @Test
+    fun `a start in an answer is over with the session`() {
+        val view = view()
+        view.take(report(1), 1, direct = false)
+        view.answeredWith(setOf(attempt))
+        view.take(report(2), 2, direct = true)
+        assertEquals(Proof.None, view.proof(attempt, 5))
+        view.take(report(3, session = 2), 3, direct = true)
+        assertEquals(Proof.Over(null), view.proof(attempt, 5))
+    }
+
+    /** A start is lost, and its repetition with the same token is answered: the first may still be carried out. */
+    @Test
+    fun `an answered repetition does not settle a start that was lost`() {
+        val view = view()
+        view.take(report(1), 1, direct = false)
+        view.launching(attempt, 5, 1)
+        view.launchLost(attempt)
+        view.launching(attempt, 5, 1)
+        view.launchSettled(attempt)
+        view.take(report(2, 5, 1, exited(ExitCause.STOPPED)), 2, direct = true)
+        assertFalse(view.mayForget(attempt, 5))
+        assertTrue(view.needsHigherToken)
+        view.take(report(3, 6, 1, exited(ExitCause.STOPPED)), 3, direct = false)
+        assertFalse(view.needsHigherToken)
+    }
 }
--- a/src/test/kotlin/mintpick/sim/SimWorker.kt
+++ b/src/test/kotlin/mintpick/sim/SimWorker.kt
@@ -57,6 +57,9 @@
     /** Its reports leave, but answers and commands do not arrive. */
     var deaf = false
 
+    /** It reaches no controller, while direct calls reach it. */
+    var mute = false
+
     /** Starts that were sent to it while it heard nothing: when, and which. */
     val missed = ArrayList<Pair<Micros, String>>()
     var noticeUs: Micros? = null
--- a/src/test/kotlin/mintpick/sim/World.kt
+++ b/src/test/kotlin/mintpick/sim/World.kt
@@ -132,6 +132,7 @@
             nodes[0].settings.cancelUs,
             nodes[0].settings.teams.associate { it.name to it.cpusMax },
         )
+    val delays = Delays(this)
     private val users = Users(this)
 
     fun after(
@@ -159,6 +160,7 @@
 
     private fun worldLoop() {
         state.tick(now)
+        delays.tick()
         workers.values.toList().forEach { it.tick(now) }
         rules.tick(now)
         if (now % SECOND < TICK) {
@@ -198,8 +200,9 @@
                 hit(luck.lost)
         if (cut) return
         // A packet that is held back arrives long after the sender has given up.
-        val travel = if (hit(luck.late)) 2 * SECOND + random.nextLong(20 * SECOND) else delay()
+        val travel = delays.travelUs(from, call) ?: if (hit(luck.late)) 2 * SECOND + random.nextLong(20 * SECOND) else delay()
         val reply: (Int, ByteArray) -> Unit = { status, body ->
+            delays.arrived(call, status)
             if (!hit(luck.lostAnswer)) after(delay()) { end(Outcome.Answered(status, body)) }
         }
         after(travel) { arrive(call, reply) { end(Outcome.NotSent) } }
@@ -385,6 +388,7 @@
         val node = nodes[target]
         val message = worker.report(now)
         val sent = now
+        delays.reported(message)
         if (hit(luck.copied)) after(2 * SECOND + random.nextLong(58 * SECOND)) { replay(message, nodes[random.nextInt(NODES)]) }
         var open = true
         val next: (Int, Micros) -> Unit = { to, pause ->
@@ -394,7 +398,13 @@
             }
         }
         after(4 * SECOND) { next((target + 1) % NODES, SECOND) }
-        if (node.cutFromWorkers || ((zonesCut || zoneOut != null) && node.settings.zone != worker.zone) || hit(luck.lost)) return
+        if (worker.mute ||
+            node.cutFromWorkers ||
+            ((zonesCut || zoneOut != null) && node.settings.zone != worker.zone) ||
+            hit(luck.lost)
+        ) {
+            return
+        }
         val travel = if (hit(luck.late)) 5 * SECOND + random.nextLong(10 * SECOND) else delay()
         after(travel) {
             val delivered =
