A controller that is back says nothing but stops of cancelled tasks before its claims are written anew

Cause (found by reading, after the meetings of late commands): with its earlier process's claim, whose token is the same, a controller that had just returned could tell a worker to forget an attempt while a start of its earlier process was still under way, so a completed task could start again. Until its claim is its own it now renews leases and stops cancelled tasks.

--- a/src/main/kotlin/mintpick/engine/Fleet.kt
+++ b/src/main/kotlin/mintpick/engine/Fleet.kt
@@ -206,7 +206,8 @@
         }
         if (!standing.mayAnswerWorkers()) return misdirected(null)
         redirects.remove(id)
-        val commands = if (fresh) orders.answerFor(view, claim) else orders.stopsOfCancelled(view)
+        // Our earlier process may have left starts under way that only the next token ends, so nothing else is said till then.
+        val commands = if (fresh && ownership.isMine(claim)) orders.answerFor(view, claim) else orders.stopsOfCancelled(view)
         if (fresh) view.answeredWith(Orders.starts(commands))
         // A copy is answered to nobody: only a report that its worker may still wait for renews the lease.
         if (awaited) view.answeredReport(kernel.now)
