--- /dev/null
+++ b/src/test/kotlin/mintpick/sim/BacklogTest.kt
@@ -0,0 +1,60 @@
+package mintpick.sim
+
+import mintpick.Samples
+import mintpick.config.Settings
+import mintpick.core.SECOND
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** More work waits than there is room for, and the limit on writes to the state service is what holds it up. */
+class BacklogTest {
+    private fun world(seed: Long) =
+        World(seed, Luck(), Size(machines = MACHINES)) { index ->
+            Settings.parse(Samples.toml(index).replace("write_rps = 40.0", "write_rps = $WRITES_PER_SECOND"))
+        }
+
+    private fun World.empty(): Int = workers.keys.count { rules.attemptsOn(it).isEmpty() }
+
+    /** A full fleet whose many jobs of one task all end at about [JOBS_END_S], with large jobs waiting for their room. */
+    private fun fullFleet(seed: Long): World {
+        val world = world(seed)
+        (1..JOBS).forEach { n ->
+            val submittedS = n / 6.0
+            val spec = Samples.spec("req-%06d".format(n), team = "blue", cpus = 4.0, tasks = 1, estimateS = JOBS_END_S - submittedS)
+            world.after((submittedS * SECOND).toLong()) { world.user(spec, null) }
+        }
+        (1..LARGE_JOBS).forEach { n ->
+            val spec = Samples.spec("req-%06d".format(1000 + n), team = "blue", cpus = 4.0, tasks = 40, estimateS = 30.0)
+            world.after(60 * SECOND + n) { world.user(spec, null) }
+        }
+        return world
+    }
+
+    /**
+     * `Changes.inTurn`: what had become of ended or lost tasks once took every write, so that a fleet fell empty beside
+     * thousands of waiting tasks. Without turns this sum is between two and three times as large.
+     */
+    @Test
+    fun `machines do not stay empty beside waiting tasks while many ends of jobs are written`() {
+        val world = fullFleet(81)
+        world.run(JOBS_END_S.toLong() * SECOND)
+        assertEquals(0, world.empty(), "the fleet is full")
+        val emptyEachSecond =
+            (1..30).map { second ->
+                world.run((JOBS_END_S.toLong() + second) * SECOND)
+                world.empty()
+            }
+        assertTrue(emptyEachSecond.max() > MACHINES / 4, "jobs end faster than others can be placed: $emptyEachSecond")
+        assertTrue(emptyEachSecond.sum() < MACHINES * 4, "$emptyEachSecond")
+        assertEquals(emptyList<String>(), world.rules.breaches)
+    }
+
+    private companion object {
+        const val MACHINES = 60
+        const val JOBS = 120
+        const val LARGE_JOBS = 6
+        const val JOBS_END_S = 90.0
+        const val WRITES_PER_SECOND = 12.0
+    }
+}
