Placements take turns with other writes when writes are short

What had become of tasks (ended, or lost with their machines) was drafted 25 times a second and took every write as it came free; placements are planned two or three times a second and found none left. Now a placement that finds no write holds the others back once they are two writes ahead of it, for two seconds at most. Nothing changes while writes suffice.

--- a/src/main/kotlin/mintpick/engine/Changes.kt
+++ b/src/main/kotlin/mintpick/engine/Changes.kt
@@ -3,7 +3,9 @@
 import mintpick.core.Job
 import mintpick.core.JobId
 import mintpick.core.MachineId
+import mintpick.core.Micros
 import mintpick.core.Resources
+import mintpick.core.SECOND
 import mintpick.core.demand
 import mintpick.store.Keys
 import mintpick.store.RecordCodec
@@ -30,7 +32,9 @@
         val bytes: Int,
         val committed: () -> Unit,
         val dropped: () -> Unit = {},
-    )
+    ) {
+        val isPlacement: Boolean get() = placed.isNotEmpty()
+    }
 
     private val open = HashSet<JobId>()
     private val openTeams = HashSet<String>()
@@ -78,8 +82,20 @@
     /** Writes that drafts leave for the next submissions, which users wait for. */
     private val kept = (kernel.settings.limits.writeRps / (kernel.settings.peers.size + 1) * KEPT_PART).toInt()
 
-    /** Writes drafts and pending submissions, the latter first, as far as the limits allow. */
-    fun commit(drafts: Collection<Draft>) {
+    /**
+     * Writes that recorded what has become of tasks, beyond those that placed tasks, while placements waited for writes.
+     */
+    private var recordsAhead = 0
+    private var recordsHeldSinceUs: Micros = 0
+
+    /**
+     * Writes drafts and pending submissions, the latter first, as far as the limits allow. While placements wait for
+     * writes ([placementsWait]) they take turns with the other drafts. Returns whether a placement found no write.
+     */
+    fun commit(
+        drafts: Collection<Draft>,
+        placementsWait: Boolean,
+    ): Boolean {
         val stored = ArrayList<Part>()
         for ((id, pending) in desk.submissions) {
             if (pending.taken || !isFree(id) || replica.knows(id)) continue
@@ -95,7 +111,27 @@
         }
         // Apart from drafts, whose conflicts must not hold them up.
         send(stored, 0)
-        send(drafts.filter { it.changed }.map(::partOf), kept)
+        val parts = drafts.filter { it.changed }.map(::partOf)
+        val sent = send(if (placementsWait) inTurn(parts) else parts, kept)
+        val placements = sent.count { it.isPlacement }
+        recordsAhead = if (placementsWait) maxOf(0, recordsAhead + sent.size - placements * 2) else 0
+        return placements < parts.count { it.isPlacement }
+    }
+
+    /**
+     * Placements come first, and other drafts wait once they are too far ahead. What has become of tasks is known all the
+     * time, but placements only after each pass: without turns the former once took every write for a quarter of a minute,
+     * and machines fell empty one after the other beside thousands of waiting tasks.
+     */
+    private fun inTurn(parts: List<Part>): List<Part> {
+        val (placements, others) = parts.partition { it.isPlacement }
+        val (cancelled, records) = others.partition { it.job in desk.cancellations }
+        if (recordsAhead < MOST_RECORDS_AHEAD) recordsHeldSinceUs = kernel.now
+        // A placement that needs more writes than the limit ever allows must not hold the others up for good.
+        if (kernel.now - recordsHeldSinceUs > LONGEST_HOLD) recordsAhead = 0
+        val may = maxOf(0, MOST_RECORDS_AHEAD - recordsAhead)
+        records.drop(may).forEach { it.dropped() }
+        return cancelled + placements + records.take(may)
     }
 
     private fun partOf(draft: Draft): Part {
@@ -138,10 +174,12 @@
 
     private fun size(write: Write): Int = write.key.length + (write.value?.toString()?.length ?: 0) + WRITE_OVERHEAD
 
+    /** Returns the parts for which there were writes. */
     private fun send(
         parts: List<Part>,
         keep: Int,
-    ) {
+    ): List<Part> {
+        val sent = ArrayList<Part>()
         var group = ArrayList<Part>()
         var dropRest = false
         var writes = 0
@@ -166,11 +204,13 @@
                 continue
             }
             group += part
+            sent += part
             guards += part.guards
             writes += part.writes.size
             bytes += part.bytes
         }
         if (group.isNotEmpty()) transact(group)
+        return sent
     }
 
     private fun transact(group: List<Part>) {
@@ -238,6 +278,8 @@
         private val LOG = LoggerFactory.getLogger(Changes::class.java)
         private const val MAX_OPEN = 4
         private const val KEPT_PART = 0.25
+        private const val MOST_RECORDS_AHEAD = 2
+        private const val LONGEST_HOLD: Micros = 2 * SECOND
         private const val MAX_BYTES = 40 * 1024
         private const val GUARDS_PER_OP = 4
         private const val RESERVE = 4
--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -149,7 +149,7 @@
         }
         observer.due().forEach { draftOf(it) }
         if (link.reachable) scheduling.schedule(changes, drafts, draftOf)
-        changes.commit(drafts.values)
+        if (changes.commit(drafts.values, scheduling.lacksWrites)) scheduling.foundNoWrite()
     }
 
     /** Tells the other controllers how we stand. */
--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -67,6 +67,15 @@
     var lacksRoom = false
         private set
 
+    /** Whether a job could have been placed in the last pass, but for a write. */
+    var lacksWrites = false
+        private set
+
+    /** What the last pass placed could not be written. */
+    fun foundNoWrite() {
+        lacksWrites = true
+    }
+
     /** Waiting jobs, first the one to be served first. */
     fun order(jobs: Collection<Job>): List<Job> {
         val cpus = replica.cpus
@@ -107,6 +116,7 @@
         val urgent = drafts.values.any { it.job.waiting > it.before.waiting }
         if (kernel.now < nextPassUs && !urgent) return
         nextPassUs = kernel.now + passEvery(replica.waitingJobs().size)
+        lacksWrites = false
         val waiting = LinkedHashMap<JobId, Job>()
         replica.waitingJobs().forEach { waiting[it.id] = it }
         drafts.values.forEach { if (it.job.waiting > 0) waiting[it.job.id] = it.job else waiting.remove(it.job.id) }
@@ -130,6 +140,8 @@
             // With more to write than the limits allow, batch jobs keep a part of it: one write starts many tasks.
             val mayWrite = pass.writes < if (job.spec.isProduction) maxOf(1, (budget * PRODUCTION_WRITES).toInt()) else budget
             if (!mayWrite && !job.spec.isProduction) {
+                // One is enough to know.
+                lacksWrites = lacksWrites || (rooms != null && free && couldPlace(job, rooms, pass))
                 left += job
                 continue
             }
@@ -244,6 +256,17 @@
         return count
     }
 
+    /** Whether there is room for a task of [job]. Gangs need more than that, and say nothing. */
+    private fun couldPlace(
+        job: Job,
+        rooms: Placer.Rooms,
+        pass: Pass,
+    ): Boolean {
+        if (job.spec.isGang || !pass.changes.isTeamFree(job.spec.team) || teamRoom(job, pass.teams) <= 0) return false
+        val found = placer.place(job.spec, job.waitingTasks(), rooms, zonesOf(job), 1, pass.hurried)
+        return found.any { (_, machine) -> rooms[machine]?.let { it.own && it.ready } == true }
+    }
+
     /** So many writes free, beyond those kept for submissions, that parts of jobs need not wait for each other. */
     private val plenty = kernel.settings.limits.writeRps / (kernel.settings.peers.size + 1) * PLENTY
 
