--- a/src/test/kotlin/mintpick/sim/World.kt
+++ b/src/test/kotlin/mintpick/sim/World.kt
@@ -115,6 +115,13 @@
     private var machines = 0
     var cloudOut = false
 
+    /** Thousandths of the transactions that get no answer and are carried out seconds later, after newer ones. */
+    var lateWrites = 0
+
+    /** How many of them have arrived. */
+    var lateWritesApplied = 0
+        private set
+
     /** The two zones can't reach each other. */
     var zonesCut = false
 
@@ -197,6 +204,17 @@
                 (from.cutFromWorkers && call.target is Target.Worker) ||
                 hit(luck.lost)
         if (cut) return
+        if (call.path == "/multi" && hit(lateWrites)) {
+            return after(2 * SECOND + random.nextLong(10 * SECOND)) {
+                arrive(call, { status, _ ->
+                    if (status ==
+                        200
+                    ) {
+                        lateWritesApplied++
+                    }
+                }) {}
+            }
+        }
         // A packet that is held back arrives long after the sender has given up.
         val travel = if (hit(luck.late)) 2 * SECOND + random.nextLong(20 * SECOND) else delay()
         val reply: (Int, ByteArray) -> Unit = { status, body ->
