A transaction whose answer is lost holds up no others

Four transactions may be open at a time, so that what comes within a moment is gathered into few writes. One without an answer kept its place for the two seconds until it was given up; with a share of the answers lost all four were held and writes that the limit allowed were not sent (committed 5 in three seconds with 8 allowed). It no longer counts once it is 0.4 s old and the service has answered what left after it.

--- a/src/main/kotlin/mintpick/engine/StateLink.kt
+++ b/src/main/kotlin/mintpick/engine/StateLink.kt
@@ -62,8 +62,17 @@
     private var nextCatchUpUs: Micros = 0
     private var backOffUntil: Micros = 0
     private var catchUpWaiters = ArrayList<(Boolean) -> Unit>()
-    var transactionsOpen = 0
-        private set
+
+    /** When each transaction left that has not been answered yet, by its number. */
+    private val openSince = HashMap<Long, Micros>()
+    private var lastTransaction = 0L
+
+    /**
+     * Transactions that may still be answered soon. One that is late, while the service has answered what left after it, has
+     * lost its answer: it must not hold up others until it is given up.
+     */
+    val transactionsOpen: Int
+        get() = openSince.values.count { sent -> kernel.now - sent < ANSWER_LATE || (lastServedUs ?: 0) <= sent }
 
     /** False from the first failure on until something is served again. */
     val reachable: Boolean get() = (lastServedUs ?: -1) >= lastFailedUs || kernel.now - (lastServedUs ?: 0) < GRACE
@@ -293,10 +302,11 @@
             }
         requests.force(kernel.now, 1.0)
         writes.force(kernel.now, changes.size.toDouble())
-        transactionsOpen++
         val sent = kernel.now
+        val number = ++lastTransaction
+        openSince[number] = sent
         kernel.call(protocol.transact(Transaction(guards, wire))) { outcome ->
-            transactionsOpen--
+            openSince.remove(number)
             val result = protocol.readTransaction(outcome)
             when (result) {
                 is TransactionResult.Committed -> {
@@ -327,6 +337,7 @@
         private const val RETRY: Micros = 250 * MILLI
         private const val BACK_OFF: Micros = 100 * MILLI
         private const val GRACE: Micros = 300 * MILLI
+        private const val ANSWER_LATE: Micros = 400 * MILLI
         const val LEASE_TTL: Micros = 5 * SECOND
         private const val TOUCH_EVERY: Micros = SECOND
         private const val FOLLOW_WAIT: Micros = 10 * SECOND
