--- a/src/main/kotlin/mintpick/engine/Supply.kt
+++ b/src/main/kotlin/mintpick/engine/Supply.kt
@@ -66,22 +66,27 @@
         if (plan.rent.isEmpty()) returnIdle(plan.unused)
     }
 
-    /** The fleet in one line, for people on call. */
+    /**
+     * The fleet in one line, for people on call. A machine's room is given again as soon as tasks are proven to have ended
+     * there, and their records follow seconds later: what the records show beyond a machine's size has nearly all ended.
+     */
     private fun logFleet() {
         if (kernel.now < nextLogUs) return
         nextLogUs = kernel.now + LOG_EVERY
         for (spot in listOf(true, false)) {
             val machines = replica.machines.values.filter { it.record.spot == spot && !observer.isGone(it.id) }
             val cpus = machines.sumOf { replica.types[it.record.type]?.cpus ?: 0.0 }
-            val used = machines.sumOf { replica.usedOn(it.id).cpus }
+            val recorded = machines.sumOf { replica.usedOn(it.id).cpus }
+            val used = machines.sumOf { minOf(replica.usedOn(it.id).cpus, replica.types[it.record.type]?.cpus ?: 0.0) }
             val empty = machines.count { replica.tasksOn(it.id).isEmpty() }
             LOG.info(
-                "fleet spot={} machines={} empty={} cpus={} used={} booting={} waiting={}",
+                "fleet spot={} machines={} empty={} cpus={} used={} ended={} booting={} waiting={}",
                 spot,
                 machines.size,
                 empty,
                 cpus,
                 used.toInt(),
+                (recorded - used).toInt(),
                 capacity.booting.values.count { it.offer.spot == spot },
                 replica.jobs.sumOf { it.waiting },
             )
