Placement: a spread job looks at every zone that may take it

The search for candidates ended once the zones seen so far had enough of them, so with 32 fuller machines in one zone the others were never looked at: a spread job that had its share there waited beside empty machines, for example after a zone had come back from a cut. Zones at their share are now left out, and the search goes on until each of the others has its part of the sample.

--- a/src/main/kotlin/mintpick/core/Placement.kt
+++ b/src/main/kotlin/mintpick/core/Placement.kt
@@ -44,6 +44,9 @@
          */
         internal val byServices: List<Slot> by lazy { slots.filter { !it.room.spot }.sortedBy { it.leftByServices } }
 
+        /** The zones that there is a machine in, whatever it holds. */
+        internal val zones: Set<String> by lazy { slots.mapTo(HashSet()) { it.room.zone } }
+
         private val byMachine: Map<MachineId, Slot> by lazy { slots.associateBy { it.room.machine } }
 
         /** Shapes that found no room at all in this pass: what needs as much need not look again. */
@@ -110,9 +113,10 @@
     ): List<Pair<Int, MachineId>> {
         if (limit <= 0 || rooms.isMissed(spec)) return emptyList()
         val onlyZone = if (spec.oneZone) perZone.entries.firstOrNull { it.value > 0 }?.key ?: bestZone(spec, rooms) else null
-        val found = candidates(spec, rooms, onlyZone, limit, hurried)
+        val zones = openZones(spec, rooms, perZone, onlyZone)
+        val found = candidates(spec, rooms, zones, limit, hurried)
         if (found.isEmpty()) {
-            if (onlyZone == null) rooms.miss(spec)
+            if (zones == rooms.zones) rooms.miss(spec)
             return emptyList()
         }
         val counts = HashMap(perZone)
@@ -120,15 +124,28 @@
         return tasks.take(limit).zip(picks.asSequence()).toList()
     }
 
+    /** Zones that may take another task of [spec]. */
+    private fun openZones(
+        spec: JobSpec,
+        rooms: Rooms,
+        perZone: Map<String, Int>,
+        onlyZone: String?,
+    ): Set<String> =
+        when {
+            onlyZone != null -> setOf(onlyZone)
+            spec.spread -> rooms.zones.filterTo(HashSet()) { (perZone[it] ?: 0) < spec.zoneCap }
+            else -> rooms.zones
+        }
+
     /**
-     * Machines with room for a task of [spec], the best first. What may use spot machines looks at others only if
+     * Machines in [zones] with room for a task of [spec], the best first. What may use spot machines looks at others only if
      * they do not hold it. The fullest are seen first, so that what is empty stays empty and can be returned; [hurried],
      * with more waiting than can be served, a sample from a random place on is nearly as good and far cheaper.
      */
     private fun candidates(
         spec: JobSpec,
         rooms: Rooms,
-        onlyZone: String?,
+        zones: Set<String>,
         limit: Int,
         hurried: Boolean,
     ): List<Pair<Slot, Int>> {
@@ -138,13 +155,13 @@
         var held = 0
         for (spot in if (spec.spot) listOf(true, false) else listOf(false)) {
             if (held >= limit && !spec.spread) break
-            val zones = HashMap<String, Int>()
+            val perZone = HashMap<String, Int>()
             for (i in slots.indices) {
                 val slot = slots[(start + i) % slots.size]
                 val room = slot.room
                 if (room.spot != spot ||
                     !allowed(spec, room.type, room.zone, room.spot) ||
-                    (onlyZone != null && room.zone != onlyZone)
+                    room.zone !in zones
                 ) {
                     continue
                 }
@@ -152,8 +169,10 @@
                 if (count == 0) continue
                 found += slot to count
                 held += minOf(count, limit)
-                zones.merge(room.zone, 1, Int::plus)
-                if (found.size >= sample && held >= limit * SURPLUS && (!spec.spread || zones.values.all { it >= sample / SURPLUS })) break
+                perZone.merge(room.zone, 1, Int::plus)
+                // The fullest may all be in one zone, and what spreads needs the others, too.
+                val covered = !spec.spread || zones.all { (perZone[it] ?: 0) >= sample / SURPLUS }
+                if (covered && found.size >= sample && held >= limit * SURPLUS) break
             }
         }
         return found.sortedWith(order(spec))
