--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -173,7 +173,9 @@
         val home = ownership.home(job.id)
         val idle = kernel.now - (still[job.id]?.sinceUs ?: kernel.now)
         if (ownership.isLeader && isLarge(job, idle)) {
-            if (!pass.mine.couldHold(job.spec, job.waiting)) return pass.wide
+            // Our machines may hold a gang, were they empty, and never be empty at the same time.
+            val waitsInVain = job.spec.isGang && idle >= LARGE_AFTER
+            if (waitsInVain || !pass.mine.couldHold(job.spec, job.waiting)) return pass.wide
         } else if (home == kernel.me) {
             return pass.mine
         }
