Scheduling: nobody is stopped for a job that its team's limit holds back

A funded job that waits only because its team is at its limit counted as short of room. Its controller stopped other teams' tasks for it once a second, beside empty machines, and said in its hints that it lacked room. The room could not be used, the stopped tasks were placed again and stopped again, more than eighty times in two minutes, until the limit had room. The same held while a transaction of the team was under way.

--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -136,7 +136,7 @@
             val placed = if (rooms == null || !free) 0 else place(job, rooms, pass, mayWrite)
             if (placed < job.waiting) {
                 left += job
-                if (placed == 0 && rooms != null && free && mayWrite) {
+                if (placed == 0 && rooms != null && free && mayWrite && teamMayPlace(job, pass)) {
                     short = true
                     // Another controller may have room, for which nobody has to be stopped.
                     if (kernel.now - (still[job.id]?.sinceUs ?: kernel.now) >= SEEK_AFTER) preemptor.seek(job, rooms, zonesOf(job))
@@ -267,6 +267,15 @@
         return job.spec.demand.countIn(limit)
     }
 
+    /** Whether it is room that [job] waits for. For what its team's limit holds back nobody has to be stopped. */
+    private fun teamMayPlace(
+        job: Job,
+        pass: Pass,
+    ): Boolean {
+        val least = if (job.spec.isGang) job.waiting else 1
+        return pass.changes.isTeamFree(job.spec.team) && teamRoom(job, pass.teams) >= least
+    }
+
     fun zonesOf(job: Job): Map<String, Int> {
         if (!job.spec.spread && !job.spec.oneZone) return emptyMap()
         val counts = HashMap<String, Int>()
