Fleet: a controller that lost all its machines in a cut finds its way back

Calls that had failed were kept until a call to the same machine got through, and only machines of ours are called. Cut off from its workers alone, a leader lost them to others; from then on nobody reported to it and it called nobody, so it took itself for cut off for ever: it borrowed nothing and took no shard back, and gangs that need several controllers' machines waited without end. While cut off it now asks one of the lost machines at a time, and forgets the failures of machines that have no record any more.

--- a/src/main/kotlin/mintpick/engine/Fleet.kt
+++ b/src/main/kotlin/mintpick/engine/Fleet.kt
@@ -414,6 +414,7 @@
             }
         }
         mineSince.keys.retainAll(replica.machines.keys)
+        failures.keys.retainAll(replica.machines.keys)
     }
 
     private var leaseSeen: Long? = null
@@ -425,6 +426,7 @@
         if (kernel.now < nextTickUs) return
         nextTickUs = kernel.now + TICK
         orders.clean()
+        if (isCutOff) probeLost()
         // Hundreds at once would keep users waiting: most confirm themselves with their next reports.
         var confirmations = 0
         for (id in mineSince.keys) {
@@ -442,6 +444,15 @@
         }
     }
 
+    /**
+     * Asks those that others have adopted since our calls to them failed. With nothing left to command, nobody else
+     * would show us that the way to the workers is open again, and we would take part in nothing for ever.
+     */
+    private fun probeLost() {
+        val lost = failures.keys.filter { it !in mineSince }
+        if (lost.isNotEmpty()) probe(lost[kernel.random.nextInt(lost.size)])
+    }
+
     companion object {
         private val LOG = LoggerFactory.getLogger(Fleet::class.java)
         private const val OK = 200
