--- /dev/null
+++ b/src/test/kotlin/mintpick/sim/LeadershipMeetingsTest.kt
@@ -0,0 +1,388 @@
+package mintpick.sim
+
+import mintpick.Samples
+import mintpick.config.Settings
+import mintpick.core.JobId
+import mintpick.core.MILLI
+import mintpick.core.MachineId
+import mintpick.core.Micros
+import mintpick.core.Placer
+import mintpick.core.Resources
+import mintpick.core.Room
+import mintpick.core.SECOND
+import mintpick.net.Target
+import mintpick.store.Keys
+import mintpick.store.RecordCodec
+import mintpick.wire.ClaimRecord
+import mintpick.wire.JobKind
+import mintpick.wire.JobSpec
+import mintpick.wire.Priority
+import mintpick.wire.WireJson
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import java.util.SplittableRandom
+
+/** Meetings of two troubles around changes of leader, zones and limits: each must come about, break no rule and leave nothing stuck. */
+class LeadershipMeetingsTest {
+    private fun world(
+        seed: Long,
+        luck: Luck = Luck(),
+        size: Size = Size(),
+        settingsOf: (Int) -> Settings = { Samples.settings(it) },
+    ) = World(seed, luck, size, settingsOf)
+
+    /** Both teams have a limit. */
+    private fun limited(index: Int): Settings =
+        Settings.parse(Samples.toml(index).replace("name = \"blue\"", "name = \"blue\"\ncpus_max = $BLUE"))
+
+    private fun id(n: Int) = "req-%06d".format(n)
+
+    private fun service(
+        n: Int,
+        tasks: Int = 2,
+        cpus: Double = 1.0,
+        team: String = "red",
+        spread: Boolean = false,
+    ): JobSpec = Samples.spec(id(n), team, tasks, JobKind.SERVICE, Priority.PRODUCTION, cpus, spot = false, spread = spread)
+
+    private fun batch(
+        n: Int,
+        tasks: Int = 1,
+        estimateS: Double = 60.0,
+        cpus: Double = 1.0,
+        team: String = "blue",
+        oneZone: Boolean = false,
+        zone: String? = null,
+    ): JobSpec = Samples.spec(id(n), team, tasks, cpus = cpus, estimateS = estimateS, oneZone = oneZone, zone = zone)
+
+    /** Who leads, with the lease that the claim hangs on. */
+    private fun World.leadership(): ClaimRecord? =
+        state
+            .keys()
+            .firstOrNull { it.first == Keys.LEADER }
+            ?.let { WireJson.decodeFromString(ClaimRecord.serializer(), it.second) }
+
+    private fun World.leader(): World.Node = nodes.first { it.settings.node == leadership()?.node }
+
+    private fun World.isRunning(job: JobSpec): Boolean = (0 until job.tasks).all { "${job.id}/$it" in rules.running }
+
+    private fun World.every(
+        span: Micros,
+        run: () -> Unit,
+    ) {
+        after(span) {
+            run()
+            every(span, run)
+        }
+    }
+
+    /** Runs on after the last trouble, and checks all rules, also that nothing is left waiting or unanswered. */
+    private fun World.calm(span: Micros = 130 * SECOND) {
+        rules.calmSinceUs = now
+        WaitingRule(this, nodes[0].settings.teams.associate { it.name to it.cpusMax }).watch()
+        run(now + span)
+        assertEquals(emptyList<String>(), rules.breaches.distinct().take(5))
+    }
+
+    /** A world of so many machines, and no more to be had, each with a long task and room for another of six processors. */
+    private fun partlyFilled(
+        seed: Long,
+        machines: Int,
+    ): World =
+        world(seed, size = Size(machines = machines, spot = 0)).apply {
+            (1..machines).forEach { n -> user(batch(n, cpus = 10.0, estimateS = 900.0), null) }
+            run(60 * SECOND)
+            assertEquals(machines, workers.values.count { rules.attemptsOn(it.id).size == 1 && it.type == "large" })
+        }
+
+    private fun gang(
+        n: Int,
+        tasks: Int,
+    ) = Samples.spec(id(n), "blue", tasks, JobKind.GANG, cpus = 6.0, estimateS = 900.0, spot = false)
+
+    /**
+     * The leader borrowed as many machines as one transaction takes. Those could have held the gang, had they been empty,
+     * and so it never looked at the others' again, and the gang waited for ever beside room for all of it.
+     */
+    @Test
+    fun `a gang runs that needs more machines than are borrowed at once`() {
+        val world = partlyFilled(201, 9)
+        val gang = gang(20, 9)
+        world.user(gang, null)
+        world.calm(100 * SECOND)
+        assertTrue(world.isRunning(gang))
+    }
+
+    /** Calls that failed in a cut were kept for ever: a leader that had lost all machines could never borrow or take any back. */
+    @Test
+    fun `a leader that was cut off from its workers serves again afterwards`() {
+        val world = partlyFilled(203, 14)
+        // The shards of this one hold two of these machines: another has to lead.
+        if (world.leader() === world.nodes[2]) world.nodes[2].crash(8 * SECOND)
+        world.run(110 * SECOND)
+        val cut = world.leader()
+        cut.cutFromWorkers = true
+        world.run(180 * SECOND)
+        val adopted = world.state.keys().count { it.first.startsWith(Keys.borrow("")) } + 8 - world.claimsOf(cut)
+        assertTrue(adopted > 2, "$adopted claims and borrowings")
+        assertEquals(cut, world.leader())
+        cut.cutFromWorkers = false
+        world.run(200 * SECOND)
+        val gang = gang(20, 14)
+        world.user(gang, null)
+        world.calm(100 * SECOND)
+        assertTrue(world.isRunning(gang))
+    }
+
+    /** Fuller machines of the zone that already holds its share once hid the other zone from a job that spreads. */
+    @Test
+    fun `a spread job finds the zone that has just come back`() {
+        val total = Resources(16.0, 0.0, 64.0)
+        val rooms =
+            List(80) {
+                val zone = if (it < 60) "north" else "south"
+                Room(MachineId("m$it"), "large", zone, false, if (it < 60) total * 0.5 else total, total, { false }, true)
+            }
+        val spec = service(1, tasks = 4, spread = true)
+        for (perZone in listOf(mapOf("north" to 2), emptyMap())) {
+            val tasks = (perZone.values.sum() until spec.tasks).asSequence()
+            val placed = Placer(SplittableRandom(1), 32).place(spec, tasks, Placer.Rooms.of(rooms), perZone, 4)
+            assertEquals(tasks.toList(), placed.map { it.first }, "$perZone")
+        }
+    }
+
+    /** Jobs bound to the zone, to any one zone and to both at once: after a long cut in which machines die all run again, where they may. */
+    @TestFactory
+    fun `zone-bound jobs survive a long cut of their zone and the loss of machines`() =
+        (211L..214L).map { seed ->
+            DynamicTest.dynamicTest("seed $seed") {
+                val world = world(seed, size = Size(machines = 24))
+                (1..4).forEach { n -> world.user(service(n, tasks = 4, spread = true), null) }
+                (5..8).forEach { n -> world.user(batch(n, 4, 300.0, cpus = 2.0, oneZone = true), null) }
+                (9..10).forEach { n -> world.user(batch(n, 3, 300.0, cpus = 2.0, zone = "south"), null) }
+                world.run(50 * SECOND)
+                val south = world.workers.values.filter { it.zone == "south" }
+                val lost = south.filterIndexed { i, _ -> i % 2 == 0 }.map { it.id }
+                assertTrue(lost.sumOf { world.rules.attemptsOn(it).size } > 2, "bound tasks are lost")
+                world.zoneOut = "south"
+                if (seed % 2 == 0L) world.after(10 * SECOND) { lost.forEach(world::remove) }
+                if (seed > 212) world.after(12 * SECOND) { world.nodes[0].crash(SECOND / 2) }
+                world.run(50 * SECOND + 25 * SECOND + (seed - 210) * 10 * SECOND)
+                world.zoneOut = null
+                lost.forEach(world::remove)
+                world.calm()
+                (1..10).forEach { n -> assertTrue(world.isRunning(requireNotNull(world.rules.spec(id(n)))), id(n)) }
+            }
+        }
+
+    /** Leaders that end or lose their lease ten times in two minutes, also while nobody is served, lose and double nothing. */
+    @TestFactory
+    fun `ten changes of leader in two minutes, also inside an outage`() =
+        (221L..223L).map { seed ->
+            DynamicTest.dynamicTest("seed $seed") {
+                val world = world(seed)
+                val leaders = LinkedHashSet<ClaimRecord>()
+                world.every(100 * MILLI) { world.leadership()?.let(leaders::add) }
+                (1..4).forEach { n -> world.user(service(n), null) }
+                (5..40).forEach { n ->
+                    world.after(n * 3 * SECOND) { world.user(batch(n, 2, 20.0, cpus = 2.0), if (n % 4 == 0) 6 * SECOND else null) }
+                }
+                world.run(30 * SECOND)
+                val before = leaders.size
+                (0..11).forEach { n -> world.after(n * 10 * SECOND) { world.change(n) } }
+                world.after(61 * SECOND) { world.state.out = true }
+                world.after(75 * SECOND) { world.state.out = false }
+                world.run(150 * SECOND)
+                assertTrue(leaders.size - before >= 10, "${leaders.size - before} changes")
+                world.calm()
+            }
+        }
+
+    private fun World.change(n: Int) {
+        val leader = leadership()?.let { leader() } ?: nodes[n % 3]
+        if (n % 3 == 0) {
+            leader.cutFromState = true
+            after(8 * SECOND) { leader.cutFromState = false }
+        } else {
+            leader.crash(if (n % 3 == 1) SECOND / 3 else 6 * SECOND)
+        }
+    }
+
+    /** Over slow links urgent work passes what fills the cluster, and what waits is placed as soon as there is room. */
+    @Test
+    fun `more work than room over slow links`() {
+        val world = world(231, size = Size(machines = 14, spot = 8))
+        world.linkDelay = { _, call ->
+            val slow = world.now in 20 * SECOND..140 * SECOND && (call.target is Target.State || call.target is Target.Worker)
+            if (slow) 200 * MILLI + world.random.nextLong(600 * MILLI) else 0
+        }
+        (1..50).forEach { n -> world.after(n * SECOND) { world.user(batch(n, 8, 20.0, cpus = 2.0), null) } }
+        (51..60).forEach { n -> world.after(n * SECOND) { world.user(service(n), null) } }
+        world.run(75 * SECOND)
+        val waiting = world.rules.wanted().sumOf { it.tasks } - world.rules.running.size
+        assertTrue(waiting > 100, "$waiting tasks wait or are over")
+        world.run(120 * SECOND)
+        (51..60).forEach { n -> assertTrue(world.isRunning(requireNotNull(world.rules.spec(id(n)))), "urgent ${id(n)}") }
+        world.run(140 * SECOND)
+        world.calm(200 * SECOND)
+    }
+
+    /** What may still run on machines that nobody can ask counts for its team, also for a leader that has just begun. */
+    @TestFactory
+    fun `teams at their limit while jobs on silent machines are cancelled and the leader changes`() =
+        (241L..246L).map { seed ->
+            DynamicTest.dynamicTest("seed $seed") {
+                val world = world(seed, settingsOf = ::limited)
+                val teams = listOf("red", "blue")
+                (1..36).forEach { n ->
+                    val cancelled = if (n % 3 == 0) 60 * SECOND else null
+                    world.user(batch(n, 2, 200.0, cpus = 2.0, team = teams[n % 2]), cancelled)
+                }
+                world.run(59 * SECOND)
+                assertEquals(listOf(24.0, BLUE), teams.map { world.usedBy(it) }, "both teams are at their limit")
+                if (seed % 2 == 0L) world.cloudOut = true
+                if (seed % 3 == 0L) world.zonesCut = true
+                world.workers.values.forEach { if (world.random.nextInt(3) > 0) it.hangingUntilUs = 105 * SECOND }
+                val before = world.leadership()
+                world.after(500 * MILLI + world.random.nextLong(3 * SECOND)) { world.leader().crash(SECOND * (seed % 4) + SECOND / 4) }
+                world.run(63 * SECOND)
+                val silent = world.rules.running.filterKeys { world.rules.isFinal(it.substringBefore('/')) }
+                assertTrue(silent.isNotEmpty(), "cancelled tasks still run where nobody can ask")
+                world.run(105 * SECOND)
+                world.zonesCut = false
+                world.cloudOut = false
+                assertNotEquals(before, world.leadership())
+                world.calm()
+                assertEquals(listOf(24.0, BLUE), teams.map { world.usedBy(it) }, "both are at their limit again")
+            }
+        }
+
+    private fun World.usedBy(team: String): Double =
+        rules.running.keys.sumOf { task -> rules.spec(task.substringBefore('/'))?.takeIf { it.team == team }?.cpus ?: 0.0 }
+
+    /** All work is killed by its leases while nobody serves; afterwards all of it runs again, and what was cancelled does not. */
+    @Test
+    fun `all controllers are away for longer than a lease`() {
+        val world = world(251)
+        (1..6).forEach { n -> world.user(service(n), null) }
+        (7..16).forEach { n -> world.user(batch(n, 3, 300.0), if (n % 3 == 0) 49 * SECOND else null) }
+        world.run(50 * SECOND)
+        val running = world.rules.running.size
+        assertTrue(running > 20, "$running run")
+        world.nodes.forEach { it.crash(26 * SECOND + world.random.nextLong(4 * SECOND)) }
+        world.run(75 * SECOND)
+        assertEquals(emptySet<String>(), world.rules.running.keys)
+        world.run(81 * SECOND)
+        world.calm()
+        (1..16).forEach { n -> assertEquals(n < 7 || n % 3 != 0, world.isRunning(requireNotNull(world.rules.spec(id(n)))), id(n)) }
+    }
+
+    /** The end of a task is written seconds later, together with others: whoever comes next learns of it from the worker, once. */
+    @TestFactory
+    fun `tasks that end far apart across a change of leader run once and count once`() =
+        listOf(false, true).map { machineGone ->
+            DynamicTest.dynamicTest("machine gone: $machineGone") {
+                val world = world(261)
+                val jobs = (1..6).map { batch(it, 3, 90.0) }
+                jobs.forEach { job ->
+                    world.runTimes["${job.id}/0"] = 40 * SECOND
+                    world.runTimes["${job.id}/1"] = 65 * SECOND
+                    world.user(job, null)
+                }
+                val done = HashMap<String, Int>()
+                world.every(100 * MILLI) { jobs.forEach { world.checkRecord(it, done) } }
+                while (world.unwritten(jobs, done).isEmpty() && world.now < 100 * SECOND) world.run(world.now + 100 * MILLI)
+                world.run(world.now + 500 * MILLI)
+                val unwritten = world.unwritten(jobs, done)
+                assertTrue(unwritten.isNotEmpty(), "an end that is not written yet")
+                val machines = world.workers.values.filter { w -> w.report(world.now).tasks.any { it.task in unwritten } }
+                world.nodes.forEach { it.crash(3 * SECOND) }
+                if (machineGone) machines.forEach { world.remove(it.id) }
+                world.run(world.now + 4 * SECOND)
+                world.calm(160 * SECOND)
+                assertEquals(if (machineGone) setOf(2) else setOf(1), unwritten.map { world.rules.startsOf[it] }.toSet())
+                assertTrue(jobs.all { world.rules.isFinal(it.id) }, "all are done")
+            }
+        }
+
+    /** Tasks that have completed while the records count none of their jobs as done. */
+    private fun World.unwritten(
+        jobs: List<JobSpec>,
+        done: Map<String, Int>,
+    ): List<String> = jobs.filter { (done[it.id] ?: 0) == 0 }.map { "${it.id}/0" }.filter(rules::isCompleted)
+
+    /** What the records show as done never becomes less. */
+    private fun World.checkRecord(
+        job: JobSpec,
+        done: MutableMap<String, Int>,
+    ) {
+        val text = state.keys().firstOrNull { it.first == Keys.job(job.id) }?.second ?: return
+        val record = RecordCodec.decodeJob(WireJson.parseToJsonElement(text))
+        if (record.spec == null) return
+        val now = RecordCodec.job(JobId(job.id), record, 1, emptyMap())?.done ?: return
+        if (now < (done[job.id] ?: 0)) rules.breaches += "went_back: ${job.id} has $now done instead of ${done[job.id]}"
+        done[job.id] = now
+    }
+
+    /** A process that is back at once meets its own earlier claims and requests, and perhaps an election. */
+    @TestFactory
+    fun `all controllers end and one is back at once while old requests still arrive`() =
+        (271L..276L).map { seed ->
+            DynamicTest.dynamicTest("seed $seed") {
+                val world = world(seed)
+                var late = 0
+                world.linkDelay = { from, call ->
+                    val held = call.target is Target.State && call.path == "/multi" && world.now in 59_500 * MILLI..60_500 * MILLI
+                    val process = from.name
+                    val delay = if (held) 1500 * MILLI + world.random.nextLong(5 * SECOND) else 0
+                    if (held) world.after(delay) { if (from.name != process) late++ }
+                    delay
+                }
+                (1..5).forEach { n -> world.user(service(n), null) }
+                (6..60).forEach { n ->
+                    val at = 50 * SECOND + (n - 6) * SECOND / 4
+                    world.after(at) {
+                        world.user(
+                            batch(
+                                n,
+                                2,
+                                15.0,
+                                team =
+                                    if (n % 2 ==
+                                        0
+                                    ) {
+                                        "red"
+                                    } else {
+                                        "blue"
+                                    },
+                            ),
+                            if (n % 4 == 0) 3 * SECOND else null,
+                        )
+                    }
+                }
+                world.run(57 * SECOND)
+                world.leader().crash(SECOND / 4)
+                world.run(60_500 * MILLI)
+                val first = (seed % 3).toInt()
+                world.nodes.forEachIndexed { i, node -> node.crash(if (i == first) world.random.nextLong(SECOND / 2) else 12 * SECOND) }
+                // The lease of whoever led before is about to end, or has just ended.
+                world.after(4 * SECOND + world.random.nextLong(2 * SECOND)) { world.nodes[first].crash(world.random.nextLong(SECOND / 3)) }
+                world.after(13 * SECOND) { world.leader().crash(SECOND / 5) }
+                world.run(76 * SECOND)
+                assertTrue(late > 0, "requests of an ended process arrived")
+                world.calm()
+                assertTrue((6..60).all { world.rules.isFinal(id(it)) })
+            }
+        }
+
+    private fun World.claimsOf(node: World.Node): Int =
+        state.keys().count { (key, value) -> key.startsWith(Keys.shard(0).dropLast(1)) && "\"${node.settings.node}\"" in value }
+
+    private companion object {
+        const val BLUE = 16.0
+    }
+}
--- a/src/test/kotlin/mintpick/sim/Rules.kt
+++ b/src/test/kotlin/mintpick/sim/Rules.kt
@@ -26,6 +26,9 @@
     var starts = 0
         private set
 
+    /** How often each task was started. */
+    val startsOf = HashMap<String, Int>()
+
     data class SimPlace(
         val machine: String,
         val zone: String,
@@ -76,6 +79,7 @@
         now: Micros,
     ) {
         starts++
+        startsOf.merge(task, 1, Int::plus)
         val job = task.substringBeforeLast('/')
         val spec = specs[job]
         startedAt.putIfAbsent(job, now)
@@ -158,6 +162,14 @@
         }
     }
 
+    fun isCompleted(task: String): Boolean = task in finished[task.substringBeforeLast('/')].orEmpty()
+
+    /** Accepted jobs that nobody wants cancelled. */
+    fun wanted(): List<JobSpec> = specs.values.filter { it.id in accepted && it.id !in cancelAsked }
+
+    /** Tasks that run now, with where they do. */
+    val running: Map<String, SimPlace> get() = on
+
     fun isFinal(job: String): Boolean = told[job] == JobStage.DONE || told[job] == JobStage.CANCELLED
 
     fun startOf(job: String): Micros? = startedAt[job]
--- a/src/test/kotlin/mintpick/sim/World.kt
+++ b/src/test/kotlin/mintpick/sim/World.kt
@@ -121,6 +121,12 @@
     /** A zone that is cut off from everything: from the other zone, the state service, the cloud and the users. */
     var zoneOut: String? = null
 
+    /** How much longer than usual a call is on its way. */
+    var linkDelay: (Node, Call) -> Micros = { _, _ -> 0 }
+
+    /** Run times of tasks that differ from their job's estimate. */
+    val runTimes = HashMap<String, Micros>()
+
     /** Calls by the address of the machine that they were for. */
     val callsTo = HashMap<String, Int>()
 
@@ -198,7 +204,7 @@
                 hit(luck.lost)
         if (cut) return
         // A packet that is held back arrives long after the sender has given up.
-        val travel = if (hit(luck.late)) 2 * SECOND + random.nextLong(20 * SECOND) else delay()
+        val travel = (if (hit(luck.late)) 2 * SECOND + random.nextLong(20 * SECOND) else delay()) + linkDelay(from, call)
         val reply: (Int, ByteArray) -> Unit = { status, body ->
             if (!hit(luck.lostAnswer)) after(delay()) { end(Outcome.Answered(status, body)) }
         }
@@ -487,6 +493,7 @@
     ) = rules.left(task, completed)
 
     override fun runTimeUs(task: String): Micros? {
+        runTimes[task]?.let { return it }
         val spec = rules.spec(task.substringBeforeLast('/')) ?: return null
         return if (spec.estimateS == 0.0) null else (spec.estimateS * SECOND).toLong()
     }
