--- a/src/test/kotlin/mintpick/core/PlacerTest.kt
+++ b/src/test/kotlin/mintpick/core/PlacerTest.kt
@@ -125,4 +125,21 @@
         )
         assertEquals(emptySet<MachineId>(), shopper.plan(rooms, listOf(Shopper.Want(spec, 4, ordinary = false)), 5).unused)
     }
+
+    /** Fuller machines of the zone that already holds its share once hid the other zone from a job that spreads. */
+    @Test
+    fun `a spread job finds the zone that has just come back`() {
+        val total = Resources(16.0, 0.0, 64.0)
+        val rooms =
+            List(80) {
+                val zone = if (it < 60) "north" else "south"
+                Room(MachineId("m$it"), "large", zone, false, if (it < 60) total * 0.5 else total, total, { false }, true)
+            }
+        val spec = Samples.spec(tasks = 4, cpus = 1.0, spot = false, spread = true)
+        for (perZone in listOf(mapOf("north" to 2), emptyMap())) {
+            val tasks = (perZone.values.sum() until spec.tasks).asSequence()
+            val placed = Placer(SplittableRandom(1), 32).place(spec, tasks, Placer.Rooms.of(rooms), perZone, 4)
+            assertEquals(tasks.toList(), placed.map { it.first }, "$perZone")
+        }
+    }
 }
--- a/src/test/kotlin/mintpick/sim/LeadershipMeetingsTest.kt
+++ b/src/test/kotlin/mintpick/sim/LeadershipMeetingsTest.kt
@@ -2,29 +2,21 @@
 
 import mintpick.Samples
 import mintpick.config.Settings
-import mintpick.core.JobId
 import mintpick.core.MILLI
-import mintpick.core.MachineId
 import mintpick.core.Micros
-import mintpick.core.Placer
-import mintpick.core.Resources
-import mintpick.core.Room
 import mintpick.core.SECOND
 import mintpick.net.Target
 import mintpick.store.Keys
-import mintpick.store.RecordCodec
 import mintpick.wire.ClaimRecord
 import mintpick.wire.JobKind
 import mintpick.wire.JobSpec
 import mintpick.wire.Priority
-import mintpick.wire.WireJson
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNotEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
-import java.util.SplittableRandom
 
 /** Meetings of two troubles around changes of leader, zones and limits: each must come about, break no rule and leave nothing stuck. */
 class LeadershipMeetingsTest {
@@ -59,13 +51,6 @@
         zone: String? = null,
     ): JobSpec = Samples.spec(id(n), team, tasks, cpus = cpus, estimateS = estimateS, oneZone = oneZone, zone = zone)
 
-    /** Who leads, with the lease that the claim hangs on. */
-    private fun World.leadership(): ClaimRecord? =
-        state
-            .keys()
-            .firstOrNull { it.first == Keys.LEADER }
-            ?.let { WireJson.decodeFromString(ClaimRecord.serializer(), it.second) }
-
     private fun World.leader(): World.Node = nodes.first { it.settings.node == leadership()?.node }
 
     private fun World.isRunning(job: JobSpec): Boolean = (0 until job.tasks).all { "${job.id}/$it" in rules.running }
@@ -138,23 +123,6 @@
         assertTrue(world.isRunning(gang))
     }
 
-    /** Fuller machines of the zone that already holds its share once hid the other zone from a job that spreads. */
-    @Test
-    fun `a spread job finds the zone that has just come back`() {
-        val total = Resources(16.0, 0.0, 64.0)
-        val rooms =
-            List(80) {
-                val zone = if (it < 60) "north" else "south"
-                Room(MachineId("m$it"), "large", zone, false, if (it < 60) total * 0.5 else total, total, { false }, true)
-            }
-        val spec = service(1, tasks = 4, spread = true)
-        for (perZone in listOf(mapOf("north" to 2), emptyMap())) {
-            val tasks = (perZone.values.sum() until spec.tasks).asSequence()
-            val placed = Placer(SplittableRandom(1), 32).place(spec, tasks, Placer.Rooms.of(rooms), perZone, 4)
-            assertEquals(tasks.toList(), placed.map { it.first }, "$perZone")
-        }
-    }
-
     /** Jobs bound to the zone, to any one zone and to both at once: after a long cut in which machines die all run again, where they may. */
     @TestFactory
     fun `zone-bound jobs survive a long cut of their zone and the loss of machines`() =
@@ -309,25 +277,6 @@
             }
         }
 
-    /** Tasks that have completed while the records count none of their jobs as done. */
-    private fun World.unwritten(
-        jobs: List<JobSpec>,
-        done: Map<String, Int>,
-    ): List<String> = jobs.filter { (done[it.id] ?: 0) == 0 }.map { "${it.id}/0" }.filter(rules::isCompleted)
-
-    /** What the records show as done never becomes less. */
-    private fun World.checkRecord(
-        job: JobSpec,
-        done: MutableMap<String, Int>,
-    ) {
-        val text = state.keys().firstOrNull { it.first == Keys.job(job.id) }?.second ?: return
-        val record = RecordCodec.decodeJob(WireJson.parseToJsonElement(text))
-        if (record.spec == null) return
-        val now = RecordCodec.job(JobId(job.id), record, 1, emptyMap())?.done ?: return
-        if (now < (done[job.id] ?: 0)) rules.breaches += "went_back: ${job.id} has $now done instead of ${done[job.id]}"
-        done[job.id] = now
-    }
-
     /** A process that is back at once meets its own earlier claims and requests, and perhaps an election. */
     @TestFactory
     fun `all controllers end and one is back at once while old requests still arrive`() =
