--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -148,7 +148,7 @@
             val placed = if (rooms == null || !free) 0 else place(job, rooms, pass, mayWrite)
             if (placed < job.waiting) {
                 left += job
-                if (placed == 0 && rooms != null && free && mayWrite) {
+                if (placed == 0 && rooms != null && free && mayWrite && teamMayPlace(job, pass)) {
                     short = true
                     // Another controller may have room, for which nobody has to be stopped.
                     if (kernel.now - (still[job.id]?.sinceUs ?: kernel.now) >= SEEK_AFTER) preemptor.seek(job, rooms, zonesOf(job))
@@ -185,7 +185,9 @@
         val home = ownership.home(job.id)
         val idle = kernel.now - (still[job.id]?.sinceUs ?: kernel.now)
         if (ownership.isLeader && isLarge(job, idle)) {
-            if (!pass.mine.couldHold(job.spec, job.waiting)) return pass.wide
+            // Our machines may hold a gang, were they empty, and never be empty at the same time.
+            val waitsInVain = job.spec.isGang && idle >= LARGE_AFTER
+            if (waitsInVain || !pass.mine.couldHold(job.spec, job.waiting)) return pass.wide
         } else if (home == kernel.me) {
             return pass.mine
         }
@@ -288,6 +290,15 @@
         return job.spec.demand.countIn(limit)
     }
 
+    /** Whether it is room that [job] waits for. For what its team's limit holds back nobody has to be stopped. */
+    private fun teamMayPlace(
+        job: Job,
+        pass: Pass,
+    ): Boolean {
+        val least = if (job.spec.isGang) job.waiting else 1
+        return pass.changes.isTeamFree(job.spec.team) && teamRoom(job, pass.teams) >= least
+    }
+
     fun zonesOf(job: Job): Map<String, Int> {
         if (!job.spec.spread && !job.spec.oneZone) return emptyMap()
         val counts = HashMap<String, Int>()
--- a/src/test/kotlin/mintpick/sim/World.kt
+++ b/src/test/kotlin/mintpick/sim/World.kt
@@ -134,6 +134,12 @@
     /** Hears which jobs' last tasks are done, as that happens. */
     var onLastTaskDone: (String) -> Unit = {}
 
+    /** How much longer than usual a call is on its way. */
+    var linkDelay: (Node, Call) -> Micros = { _, _ -> 0 }
+
+    /** Run times of tasks that differ from their job's estimate. */
+    val runTimes = HashMap<String, Micros>()
+
     /** Calls by the address of the machine that they were for. */
     val callsTo = HashMap<String, Int>()
 
@@ -224,7 +230,8 @@
             }
         }
         // A packet that is held back arrives long after the sender has given up.
-        val travel = delays.travelUs(from, call) ?: if (hit(luck.late)) 2 * SECOND + random.nextLong(20 * SECOND) else delay()
+        val usual = if (hit(luck.late)) 2 * SECOND + random.nextLong(20 * SECOND) else delay()
+        val travel = (delays.travelUs(from, call) ?: usual) + linkDelay(from, call)
         val reply: (Int, ByteArray) -> Unit = { status, body ->
             delays.arrived(call, status)
             if (!hit(luck.lostAnswer)) after(delay() + slowAnswer(from, call)) { end(Outcome.Answered(status, body)) }
@@ -526,6 +533,7 @@
     }
 
     override fun runTimeUs(task: String): Micros? {
+        runTimes[task]?.let { return it }
         val spec = rules.spec(task.substringBeforeLast('/')) ?: return null
         return if (spec.estimateS == 0.0) null else (spec.estimateS * SECOND).toLong()
     }
