A submission's late answer tells what has become of the job

The answer to the write of a submission may come after the watch has brought the job's cancellation or end: the user was told that it was queued by a controller that knew better.

--- a/src/main/kotlin/mintpick/engine/Desk.kt
+++ b/src/main/kotlin/mintpick/engine/Desk.kt
@@ -166,8 +166,10 @@
     }
 
     fun submitted(id: JobId) {
+        // The answer to the write may come after the watch has told what became of the job.
+        val stage = statusOf(id)?.stage ?: JobStage.QUEUED
         submissions.remove(id)?.replies?.forEachIndexed { i, reply ->
-            kernel.send(reply, stageAnswer(id, JobStage.QUEUED, if (i == 0) CREATED else OK))
+            kernel.send(reply, stageAnswer(id, stage, if (i == 0) CREATED else OK))
         }
     }
 
