--- a/src/test/kotlin/mintpick/sim/UserMeetingsTest.kt
+++ b/src/test/kotlin/mintpick/sim/UserMeetingsTest.kt
@@ -5,6 +5,7 @@
 import mintpick.core.JobId
 import mintpick.core.MILLI
 import mintpick.core.SECOND
+import mintpick.engine.Desk
 import mintpick.engine.Effect
 import mintpick.engine.Event
 import mintpick.engine.Kernel
@@ -316,4 +317,20 @@
         script.page(1, more = false)
         assertTrue(script.link.serving)
     }
+
+    /** The late answer to the write of a submission once made its user hear `queued` of a job known here as cancelled. */
+    @Test
+    fun `a submission whose write is answered late is told what has become of the job`() {
+        val script = ScriptedLink().apply { serve() }
+        val desk = Desk(script.kernel, script.link)
+        val answers = ArrayList<Answer>()
+        desk.submissions[JobId(id(5))] = Desk.Pending(batch(5), 0).apply { replies += ReplyTo { answers += it } }
+        script.kernel.replica.apply(Keys.job(id(5)), RecordCodec.finalJson(StoredStage.CANCELLED, 1), 20)
+        desk.submitted(JobId(id(5)))
+        script.kernel
+            .takeEffects()
+            .filterIsInstance<Effect.Send>()
+            .forEach { it.reply.answer(it.answer) }
+        assertEquals(listOf(201 to true), answers.map { it.status to ("withdrawn" in it.body.decodeToString()) })
+    }
 }
