Records are read anew as a whole, and nobody serves before they are of one moment

An answer that was sent for before the records were read anew (a catch-up, a late refusal of a watch, a commit) was applied to the new copy, a lease that ended or a registration that came through meanwhile ended the reading, and what changed between two pages was not known while guards from the later page held already. A chunk told before its job in one answer of a watch was dropped for good. A page that fails is asked for again alone.

--- a/src/main/kotlin/mintpick/engine/StateLink.kt
+++ b/src/main/kotlin/mintpick/engine/StateLink.kt
@@ -53,7 +53,6 @@
         Bucket(kernel.settings.limits.writeRps * WRITE_SHARE / controllers, kernel.settings.limits.writeRps * WRITE_SHARE / controllers)
     private var busy = false
     private var followOpen = false
-    private var followGeneration = 0
     private var leaseBusy = false
     private var catchUpBusy = false
     private var nextLoadUs: Micros = 0
@@ -76,7 +75,7 @@
     fun tick() {
         val now = kernel.now
         when (phase) {
-            Phase.LOADING -> if (!busy && now >= nextLoadUs) loadPage(null, null)
+            Phase.LOADING -> if (!busy && now >= nextLoadUs) load()
             Phase.JOINING -> if (!busy && now >= nextLoadUs) join()
             Phase.SERVING -> renew()
         }
@@ -104,40 +103,58 @@
         result: StateResult<*>,
     ) = if (result is StateResult.Failed) failed() else served(sentUs)
 
-    private fun loadPage(
-        after: String?,
-        firstRevision: Long?,
-    ) {
+    /** How far the reading of the records has come: a request that fails is sent again, those before it are not. */
+    private class Loading {
+        var lastKey: String? = null
+        var firstRevision: Long? = null
+        var hasAllPages = false
+    }
+
+    private var loading = Loading()
+
+    private fun load() = if (loading.hasAllPages) closeLoad() else loadPage()
+
+    private fun loadPage() {
         busy = true
         val sent = kernel.now
         requests.force(sent, 1.0)
-        kernel.call(protocol.page(after, PAGE)) { outcome ->
+        kernel.call(protocol.page(loading.lastKey, PAGE)) { outcome ->
             val result = protocol.readPage(outcome)
             note(sent, result)
-            when (result) {
-                is StateResult.Ok -> loaded(result.value, firstRevision ?: result.value.revision)
-                else -> {
-                    busy = false
-                    nextLoadUs = kernel.now + RETRY
-                }
-            }
+            busy = false
+            if (result is StateResult.Ok) loaded(result.value) else nextLoadUs = kernel.now + RETRY
         }
     }
 
-    private fun loaded(
-        page: ItemPage,
-        firstRevision: Long,
-    ) {
+    private fun loaded(page: ItemPage) {
         page.items.forEach { kernel.replica.apply(it.key, it.value, it.version) }
+        val firstRevision = loading.firstRevision ?: page.revision.also { loading.firstRevision = it }
         if (page.more && page.items.isNotEmpty()) {
-            loadPage(page.items.last().key, firstRevision)
-            return
+            loading.lastKey = page.items.last().key
+        } else {
+            // Pages are not one moment: the watch starts at the first page's revision and repeats what changed meanwhile.
+            kernel.replica.reached(firstRevision)
+            loading.hasAllPages = true
+        }
+        load()
+    }
+
+    /** Nobody serves before that: a guard from a later page would hold although changes from before it are not known. */
+    private fun closeLoad() {
+        busy = true
+        val sent = kernel.now
+        requests.force(sent, 1.0)
+        kernel.call(protocol.follow(kernel.replica.revision, 0)) { outcome ->
+            val result = protocol.readEvents(outcome)
+            note(sent, result)
+            busy = false
+            if (take(result)) {
+                phase = if (lease == null) Phase.JOINING else Phase.SERVING
+                LOG.info("loaded revision={} jobs={}", kernel.replica.revision, kernel.replica.jobs.size)
+            } else {
+                nextLoadUs = kernel.now + RETRY
+            }
         }
-        busy = false
-        // Pages are not one moment: the watch starts at the first page's revision and repeats what changed meanwhile.
-        kernel.replica.reached(firstRevision)
-        phase = if (lease == null) Phase.JOINING else Phase.SERVING
-        LOG.info("loaded revision={} jobs={}", firstRevision, kernel.replica.jobs.size)
     }
 
     private fun join() {
@@ -167,8 +184,11 @@
         transact(emptyList(), listOf(write)) { result ->
             busy = false
             if (result is TransactionResult.Committed) {
-                if (phase == Phase.JOINING) servingSinceUs = kernel.now
-                phase = Phase.SERVING
+                // While the records are read anew it is not yet time to serve.
+                if (phase == Phase.JOINING) {
+                    servingSinceUs = kernel.now
+                    phase = Phase.SERVING
+                }
                 LOG.info("joined lease={} revision={}", lease, result.revision)
             } else {
                 if (phase == Phase.JOINING) this.lease = null
@@ -203,15 +223,15 @@
         if (lease == null) return
         LOG.warn("lease lost lease={} reason={}", lease, reason)
         lease = null
-        phase = Phase.JOINING
+        if (phase == Phase.SERVING) phase = Phase.JOINING
     }
 
     private fun follow() {
         followOpen = true
-        val generation = followGeneration
+        val copy = kernel.replica
         val sent = kernel.now
         kernel.call(protocol.follow(kernel.replica.revision, FOLLOW_WAIT)) { outcome ->
-            if (generation == followGeneration) {
+            if (copy === kernel.replica) {
                 followOpen = false
                 val result = protocol.readEvents(outcome)
                 // A watch stays open through an outage, so only its answer says that the service serves.
@@ -227,12 +247,13 @@
             LOG.warn("watch too old revision={}", kernel.replica.revision)
             kernel.forgetReplica()
             phase = Phase.LOADING
-            followGeneration++
+            loading = Loading()
             followOpen = false
             return false
         }
         if (result !is StateResult.Ok) return false
-        for (event in result.value.events) {
+        // In whichever order they are told, a job has to be known before its chunks.
+        for (event in result.value.events.sortedBy { Keys.isChunk((it.put ?: it.delete).orEmpty()) }) {
             val key = event.put ?: event.delete ?: continue
             kernel.replica.apply(key, if (event.put != null) event.value else null, event.version)
         }
@@ -260,12 +281,14 @@
         val waiters = catchUpWaiters
         catchUpWaiters = ArrayList()
         val sent = kernel.now
+        val copy = kernel.replica
         nextCatchUpUs = sent + CATCH_UP_GAP
         kernel.call(protocol.follow(kernel.replica.revision, 0)) { outcome ->
             catchUpBusy = false
             val result = protocol.readEvents(outcome)
             note(sent, result)
-            val ok = take(result)
+            // From before the records were read anew it says nothing of the new copy.
+            val ok = copy === kernel.replica && take(result)
             waiters.forEach { it(ok) }
         }
     }
@@ -274,7 +297,10 @@
     fun writesAllowed(): Int =
         if (lease == null || kernel.now < backOffUntil || requests.available(kernel.now) < 1) 0 else writes.available(kernel.now).toInt()
 
-    /** Sends a transaction. What it writes is in the replica when [then] hears that it was committed. */
+    /**
+     * Sends a transaction. What it writes is in the replica when [then] hears that it was committed, unless the records
+     * are read anew meanwhile, which brings it or what came after it.
+     */
     fun transact(
         guards: List<Guard>,
         changes: List<Write>,
@@ -295,13 +321,14 @@
         writes.force(kernel.now, changes.size.toDouble())
         transactionsOpen++
         val sent = kernel.now
+        val copy = kernel.replica
         kernel.call(protocol.transact(Transaction(guards, wire))) { outcome ->
             transactionsOpen--
             val result = protocol.readTransaction(outcome)
             when (result) {
                 is TransactionResult.Committed -> {
                     served(sent)
-                    changes.forEach { kernel.replica.apply(it.key, it.value, result.revision) }
+                    changes.forEach { copy.apply(it.key, it.value, result.revision) }
                 }
                 is TransactionResult.Conflict -> served(sent)
                 TransactionResult.LeaseGone -> leaseLost("refused")
--- a/src/main/kotlin/mintpick/store/Keys.kt
+++ b/src/main/kotlin/mintpick/store/Keys.kt
@@ -23,6 +23,9 @@
         index: Int,
     ) = if (index == 0) job(id) else "$CHUNK$id/$index"
 
+    /** Whether [key] is that of a job's further tasks. */
+    fun isChunk(key: String): Boolean = key.startsWith(CHUNK)
+
     fun shard(index: Int) = SHARD + index
 
     fun borrow(machine: String) = BORROW + machine
