Meetings of the state service: answers that outlast a new reading of the records, each as a test

Stand-ins for late and unanswered transactions, slow answers, one controller refused alone, and machines that are up within two seconds; a watch that is too old for the log, and one that tells its changes in any order.

--- a/src/test/kotlin/mintpick/sim/Conditions.kt
+++ b/src/test/kotlin/mintpick/sim/Conditions.kt
@@ -1,6 +1,7 @@
 package mintpick.sim
 
 import mintpick.core.Micros
+import mintpick.core.SECOND
 import mintpick.wire.MachineType
 
 /** Odds of what goes wrong with any one message, in thousandths. */
@@ -18,6 +19,7 @@
     val listed: Int = 30,
     /** Spot machines that the cloud has. */
     val spot: Int = Int.MAX_VALUE,
+    val boots: LongRange = 2 * SECOND..10 * SECOND,
 )
 
 /** What the stand-in for the cloud rents. */
--- a/src/test/kotlin/mintpick/sim/SimState.kt
+++ b/src/test/kotlin/mintpick/sim/SimState.kt
@@ -37,6 +37,12 @@
         private set
     var out = false
 
+    /** Watches that begin before this revision are too old for the log. */
+    var oldestWatch = 0L
+
+    /** In which order a watch tells its changes. */
+    var order: (List<StateEvent>) -> List<StateEvent> = { it }
+
     /** What was asked of it, as the limits count. */
     var requests = 0L
         private set
@@ -93,6 +99,7 @@
         if (route == "/follow") {
             val wait = (query["wait_ms"]?.toLong() ?: 0) * 1000
             if (out && wait == 0L) return answer(Http(503, "{}"))
+            if (query.getValue("since").toLong() < oldestWatch) return answer(Http(410, "{}"))
             watches += Watch(query.getValue("since").toLong(), now + wait, answer)
             return
         }
@@ -130,7 +137,7 @@
     }
 
     private fun events(since: Long) =
-        Http(200, WireJson.encodeToString(EventPage.serializer(), EventPage(revision, log.filter { it.version > since })))
+        Http(200, WireJson.encodeToString(EventPage.serializer(), EventPage(revision, order(log.filter { it.version > since }))))
 
     private fun grant(
         now: Micros,
--- /dev/null
+++ b/src/test/kotlin/mintpick/sim/StateMeetingsTest.kt
@@ -0,0 +1,272 @@
+package mintpick.sim
+
+import mintpick.Samples
+import mintpick.core.Chunk
+import mintpick.core.Job
+import mintpick.core.JobId
+import mintpick.core.MILLI
+import mintpick.core.MachineId
+import mintpick.core.Micros
+import mintpick.core.SECOND
+import mintpick.engine.Effect
+import mintpick.engine.Kernel
+import mintpick.engine.StateLink
+import mintpick.engine.Write
+import mintpick.net.Call
+import mintpick.net.Outcome
+import mintpick.store.Keys
+import mintpick.store.RecordCodec
+import mintpick.wire.Change
+import mintpick.wire.ClaimRecord
+import mintpick.wire.StoredStage
+import mintpick.wire.Transaction
+import mintpick.wire.WireJson
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.SplittableRandom
+
+/** Troubles of the state service that meet others: what is carried out late or unanswered, slow, or refused to one alone. */
+class StateMeetingsTest {
+    /** One controller's link to the state service, whose answers may be held up one by one. */
+    private class Link(
+        val state: SimState = SimState(),
+    ) {
+        private val kernel = Kernel(Samples.settings(0), SplittableRandom(1))
+        val link = StateLink(kernel)
+        private val arrived = ArrayList<Pair<Long, Outcome>>()
+        val held = ArrayList<Pair<Call, () -> Unit>>()
+
+        /** Answers to these requests are held until [release]. */
+        var holds: (Call) -> Boolean = { false }
+
+        /** Answers to these requests are lost. */
+        var loses: (Call) -> Boolean = { false }
+        var connected = true
+        private var now: Micros = 0
+        val replica get() = kernel.replica
+
+        fun run(span: Micros) {
+            val until = now + span
+            while (now < until) step()
+        }
+
+        private fun step() {
+            now += STEP
+            kernel.begin(now, now)
+            state.tick(now)
+            arrived.toList().also { arrived.clear() }.forEach { (id, outcome) -> kernel.callDone(id, outcome) }
+            link.tick()
+            for (effect in kernel.takeEffects()) {
+                if (effect !is Effect.Start) continue
+                if (connected) ask(effect.id, effect.call) else arrived += effect.id to Outcome.Unanswered
+            }
+        }
+
+        private fun ask(
+            id: Long,
+            call: Call,
+        ) = state.request(now, call.method, call.path, (call.body ?: ByteArray(0)).decodeToString()) { answer ->
+            val outcome =
+                if (loses(call)) Outcome.Unanswered else Outcome.Answered(answer.status, answer.body.encodeToByteArray())
+            val give = { arrived += id to outcome }
+            if (holds(call)) held += call to give else give()
+        }
+
+        /** Gives the answers that were held to requests below [path]. */
+        fun release(path: String) {
+            val due = held.filter { it.first.path.startsWith(path) }
+            held -= due.toSet()
+            due.forEach { it.second() }
+        }
+
+        /** Every watch is too old until the service has gone on by a revision. */
+        fun outlastLog() {
+            state.oldestWatch = state.revision + 2
+        }
+
+        private companion object {
+            const val STEP: Micros = 20 * MILLI
+        }
+    }
+
+    private fun SimState.write(vararg changes: Change) = assertEquals(200, transact(Transaction(emptyList(), changes.toList())).status)
+
+    private fun job(
+        n: Int,
+        tasks: Int = 1,
+    ): Change {
+        val spec = Samples.spec("req-%06d".format(n), tasks = tasks)
+        val job = Job(JobId(spec.id), spec, StoredStage.OPEN, 0, 0, emptyMap())
+        return Change(put = Keys.job(spec.id), value = RecordCodec.jobJson(job))
+    }
+
+    private fun isFurtherPage(call: Call) = call.path.startsWith("/keys") && "&since=" in call.path
+
+    private fun isCatchUp(call: Call) = call.path.startsWith("/follow") && call.path.endsWith("wait_ms=0")
+
+    /** A controller that serves, with so many jobs: more than 500 take two pages. */
+    private fun joined(jobs: Int) =
+        Link().apply {
+            (1..jobs).forEach { state.write(job(it)) }
+            run(2 * SECOND)
+            assertTrue(link.serving)
+        }
+
+    /** Has its watch refused as too old, so that it reads the records again. */
+    private fun Link.readAgain() {
+        outlastLog()
+        state.write(job(LAST))
+        repeat(50) { if (link.hasLoaded) run(SECOND / 50) }
+        assertFalse(link.hasLoaded, "the records are read again")
+        state.write(job(LAST + 1))
+        run(SECOND / 2)
+    }
+
+    private fun Link.knowsAll(jobs: Int) = (1..jobs).all { replica.knows(JobId("req-%06d".format(it))) }
+
+    /** A question that waited for it was answered from an empty copy of the records: 404 for a job that is known. */
+    @Test
+    fun `an answer from before the records were read again is not trusted`() {
+        val controller = joined(5)
+        controller.holds = { isCatchUp(it) || it.path.startsWith("/keys") }
+        var known: Boolean? = null
+        controller.link.caughtUp { ok -> known = !ok || controller.knowsAll(5) }
+        controller.run(SECOND / 2)
+        assertEquals(1, controller.held.size, "the catch-up waits")
+        controller.readAgain()
+        controller.release("/follow")
+        controller.run(SECOND / 10)
+        assertEquals(true, known)
+    }
+
+    /** The copy was emptied while its second page was under way: what the first had brought was forgotten for good. */
+    @Test
+    fun `records that are being read again are not dropped by another late refusal`() {
+        val controller = joined(600)
+        controller.holds = { isCatchUp(it) || isFurtherPage(it) }
+        controller.outlastLog()
+        controller.link.caughtUp { }
+        controller.run(SECOND / 2)
+        controller.readAgain()
+        assertEquals(2, controller.held.size, "the refusal and the second page wait")
+        controller.release("/follow")
+        controller.run(SECOND / 10)
+        controller.holds = { false }
+        controller.release("/keys")
+        controller.run(2 * SECOND)
+        assertTrue(controller.link.serving && controller.knowsAll(600))
+    }
+
+    /** A lease that was found to be over made the controller follow, and forget, records that it was still reading. */
+    @Test
+    fun `a lease that ends while the records are read again does not interrupt that`() {
+        val controller = joined(600)
+        controller.connected = false
+        controller.run(20 * SECOND)
+        controller.holds = { isFurtherPage(it) || "/touch" in it.path }
+        repeat(2) { controller.state.write(job(LAST + it)) }
+        controller.state.oldestWatch = controller.state.revision
+        controller.loses = { it.path.startsWith("/follow") }
+        controller.connected = true
+        controller.run(2 * SECOND)
+        controller.loses = { false }
+        controller.run(2 * SECOND)
+        assertEquals(2, controller.held.size, "the end of the lease and the second page wait")
+        controller.release("/leases")
+        controller.run(SECOND)
+        controller.holds = { false }
+        controller.release("/keys")
+        controller.run(2 * SECOND)
+        assertTrue(controller.link.serving && controller.knowsAll(600))
+    }
+
+    /** Its registration made a controller serve from the empty copy that it had just begun to fill. */
+    @Test
+    fun `a registration that is answered late does not end the reading of the records`() {
+        val controller = Link()
+        (1..5).forEach { controller.state.write(job(it)) }
+        controller.holds = { it.path == "/multi" }
+        controller.run(SECOND)
+        controller.holds = { it.path.startsWith("/keys") }
+        controller.readAgain()
+        controller.release("/multi")
+        controller.run(SECOND / 10)
+        assertFalse(controller.link.serving && !controller.knowsAll(5))
+        controller.holds = { false }
+        controller.release("/keys")
+        controller.run(2 * SECOND)
+        assertTrue(controller.link.serving && controller.knowsAll(5))
+    }
+
+    /** A claim that had ended stood in the new copy again, because a commit from before it was answered late. */
+    @Test
+    fun `a commit from before the records were read again brings back nothing`() {
+        val controller = joined(5)
+        controller.holds = { it.path == "/multi" }
+        val claim = WireJson.encodeToJsonElement(ClaimRecord.serializer(), ClaimRecord("node-0", 1))
+        controller.link.transact(emptyList(), listOf(Write(Keys.shard(3), claim))) { }
+        controller.run(SECOND / 10)
+        assertEquals(1, controller.held.size, "the commit waits")
+        controller.state.write(Change(delete = Keys.shard(3)))
+        controller.readAgain()
+        controller.run(SECOND)
+        assertTrue(controller.link.serving)
+        controller.release("/multi")
+        controller.run(SECOND)
+        assertEquals(null, controller.replica.claims[3])
+    }
+
+    /** A team's reservation was newer than its placements, which the watch had yet to bring: its guard held nothing up. */
+    @Test
+    fun `nobody serves before what changed between two pages is known`() {
+        val controller = Link()
+        (1..600).forEach { controller.state.write(job(it)) }
+        controller.holds = { "&since=" !in it.path && it.path.startsWith("/keys") || it.path.startsWith("/follow") }
+        controller.run(SECOND)
+        controller.state.write(Change(put = Keys.job("req-000001"), value = RecordCodec.finalJson(StoredStage.DONE, 1)))
+        controller.release("/keys")
+        controller.run(2 * SECOND)
+        val isNew = { controller.replica.final(JobId("req-000001")) != null }
+        assertTrue(isNew() || !controller.link.serving)
+        controller.holds = { false }
+        controller.release("/follow")
+        controller.run(6 * SECOND)
+        assertTrue(controller.link.serving && isNew())
+    }
+
+    /** PROTOCOL promises no order. A chunk that was told before its job was dropped, and its tasks were placed in vain for ever. */
+    @Test
+    fun `changes are understood in whichever order a watch tells them`() {
+        val controller = joined(1)
+        val chunk = Chunk.empty(Job.CHUNK).place(0, MachineId("host-000001"))
+        controller.connected = false
+        controller.run(14 * SECOND)
+        controller.state.write(job(2, tasks = 600))
+        controller.state.write(Change(put = Keys.chunk("req-000002", 1), value = RecordCodec.chunkJson(chunk)))
+        controller.state.order = { it.reversed() }
+        controller.connected = true
+        controller.run(6 * SECOND)
+        assertEquals(1, controller.replica.job(JobId("req-000002"))?.placed)
+    }
+
+    /** A record that takes many pages was read from its beginning whenever one answer was lost. */
+    @Test
+    fun `a page that is lost is asked for again, not all before it`() {
+        val controller = Link()
+        (1..600).forEach { controller.state.write(job(it)) }
+        var firstPages = 0
+        controller.holds = { call -> ("&since=" !in call.path && call.path.startsWith("/keys")).also { if (it) firstPages++ } && false }
+        controller.loses = ::isFurtherPage
+        controller.run(5 * SECOND)
+        controller.loses = { false }
+        controller.run(5 * SECOND)
+        assertTrue(controller.link.serving && controller.knowsAll(600))
+        assertEquals(1, firstPages)
+    }
+
+    private companion object {
+        const val LAST = 999
+    }
+}
--- a/src/test/kotlin/mintpick/sim/World.kt
+++ b/src/test/kotlin/mintpick/sim/World.kt
@@ -107,6 +107,7 @@
     private var order = 0L
     private var started = false
     val state = SimState()
+    val stateTroubles = StateTroubles(this)
     val nodes = (0 until NODES).map { Node(it) }
     val workers = LinkedHashMap<String, SimWorker>()
     private val booting = LinkedHashMap<String, RentalRequest>()
@@ -202,7 +203,8 @@
         val reply: (Int, ByteArray) -> Unit = { status, body ->
             if (!hit(luck.lostAnswer)) after(delay()) { end(Outcome.Answered(status, body)) }
         }
-        after(travel) { arrive(call, reply) { end(Outcome.NotSent) } }
+        val arrival: ((Int, ByteArray) -> Unit) -> Unit = { answered -> arrive(call, answered) { end(Outcome.NotSent) } }
+        after(travel) { if (call.target is Target.State) stateTroubles.pass(from, call, reply, arrival) else arrival(reply) }
     }
 
     private fun peersCut(
@@ -322,7 +324,7 @@
                 val id = "host-%06d".format(++machines)
                 booting[id] = request
                 born[id] = now
-                after(2 * SECOND + random.nextLong(8 * SECOND)) { boot(id) }
+                after(size.boots.first + random.nextLong(size.boots.last - size.boots.first)) { boot(id) }
                 id
             }
         }
