--- a/src/test/kotlin/mintpick/sim/BacklogTest.kt
+++ b/src/test/kotlin/mintpick/sim/BacklogTest.kt
@@ -69,9 +69,9 @@
                 val world = fullFleet(seed, writesPerSecond = 60.0)
                 world.run(JOBS_END_S.toLong() * SECOND)
                 assertEquals(0, world.empty(), "the fleet is full")
-                world.lateWrites = 450
+                world.stateTroubles.lost = 450
                 val emptyEachSecond = world.emptyEachSecond()
-                assertTrue(world.lateWritesApplied > 0, "some were carried out late")
+                assertTrue(world.stateTroubles.carriedOut().isNotEmpty(), "some were carried out late")
                 assertEquals(emptyList<String>(), world.rules.breaches)
                 emptyEachSecond.sum()
             }
--- a/src/test/kotlin/mintpick/sim/Troubles.kt
+++ b/src/test/kotlin/mintpick/sim/Troubles.kt
@@ -73,6 +73,18 @@
             after(span / 3) { nodes.forEach { it.crash(random.nextLong(SECOND / 3)) } }
             after(span) { state.out = false }
         },
+        Trouble("state service refuses one controller, then everybody") { span ->
+            stateTroubles.refused = anyNode()
+            after(span / 4) { state.out = true }
+            after(span / 2) { stateTroubles.refused = null }
+            after(span) { state.out = false }
+        },
+        Trouble("late writes") { span -> loseWrites(span, atOnce = false) },
+        Trouble("lost answers to writes") { span -> loseWrites(span, atOnce = true) },
+        Trouble("state service slow") { span ->
+            stateTroubles.slow = 300
+            after(span) { stateTroubles.slow = 0 }
+        },
         Trouble("cloud out") { span ->
             cloudOut = true
             after(span) { cloudOut = false }
@@ -100,4 +112,41 @@
         },
     )
 
-internal val ALL_TROUBLES = CONTROLLER_TROUBLES + SERVICE_TROUBLES + MACHINE_TROUBLES
+/** Troubles of what workers, controllers and users tell each other. */
+internal val MESSAGE_TROUBLES =
+    listOf(
+        Trouble("machines mute") { span ->
+            val mute = someWorkers(4)
+            mute.forEach { it.mute = true }
+            after(span) { mute.forEach { it.mute = false } }
+        },
+        Trouble("late commands") { span ->
+            delays.lateCommands = 200
+            after(span) { delays.lateCommands = 0 }
+        },
+        Trouble("copies of reports for the next leader") { span ->
+            delays.keptForNext = 200
+            after(span) { delays.keptForNext = 0 }
+        },
+        Trouble("jobs cancelled at once") { userTroubles.cancelNow(count = 5, hangUs = 0) },
+        Trouble("jobs cancelled at once on machines that hang") { span -> userTroubles.cancelNow(count = 5, hangUs = span / 2) },
+        Trouble("jobs cancelled at their end") { span ->
+            userTroubles.cancelAtEnd(percent = 50)
+            after(span) { userTroubles.cancelAtEnd(percent = 0) }
+        },
+        Trouble("slow links") { span ->
+            linkDelay = { _, _ -> random.nextLong(SECOND / 2) }
+            after(span) { linkDelay = { _, _ -> 0 } }
+        },
+    )
+
+private fun World.loseWrites(
+    span: Micros,
+    atOnce: Boolean,
+) {
+    stateTroubles.atOnce = atOnce
+    stateTroubles.lost = 300
+    after(span) { stateTroubles.lost = 0 }
+}
+
+internal val ALL_TROUBLES = CONTROLLER_TROUBLES + SERVICE_TROUBLES + MACHINE_TROUBLES + MESSAGE_TROUBLES
--- a/src/test/kotlin/mintpick/sim/World.kt
+++ b/src/test/kotlin/mintpick/sim/World.kt
@@ -107,6 +107,8 @@
     private var order = 0L
     private var started = false
     val state = SimState()
+    val stateTroubles = StateTroubles(this)
+    internal val userTroubles by lazy { UserTroubles(this) }
     val nodes = (0 until NODES).map { Node(it) }
     val workers = LinkedHashMap<String, SimWorker>()
     private val booting = LinkedHashMap<String, RentalRequest>()
@@ -115,13 +117,6 @@
     private var machines = 0
     var cloudOut = false
 
-    /** Thousandths of the transactions that get no answer and are carried out seconds later, after newer ones. */
-    var lateWrites = 0
-
-    /** How many of them have arrived. */
-    var lateWritesApplied = 0
-        private set
-
     /** The two zones can't reach each other. */
     var zonesCut = false
 
@@ -218,17 +213,6 @@
                 (from.cutFromWorkers && call.target is Target.Worker) ||
                 hit(luck.lost)
         if (cut) return
-        if (call.path == "/multi" && hit(lateWrites)) {
-            return after(2 * SECOND + random.nextLong(10 * SECOND)) {
-                arrive(call, { status, _ ->
-                    if (status ==
-                        200
-                    ) {
-                        lateWritesApplied++
-                    }
-                }) {}
-            }
-        }
         // A packet that is held back arrives long after the sender has given up.
         val usual = if (hit(luck.late)) 2 * SECOND + random.nextLong(20 * SECOND) else delay()
         val travel = (delays.travelUs(from, call) ?: usual) + linkDelay(from, call)
@@ -236,7 +220,8 @@
             delays.arrived(call, status)
             if (!hit(luck.lostAnswer)) after(delay() + slowAnswer(from, call)) { end(Outcome.Answered(status, body)) }
         }
-        after(travel) { arrive(call, reply) { end(Outcome.NotSent) } }
+        val arrival: ((Int, ByteArray) -> Unit) -> Unit = { answered -> arrive(call, answered) { end(Outcome.NotSent) } }
+        after(travel) { if (call.target is Target.State) stateTroubles.pass(from, call, reply, arrival) else arrival(reply) }
     }
 
     private fun peersCut(
@@ -356,7 +341,7 @@
                 val id = "host-%06d".format(++machines)
                 booting[id] = request
                 born[id] = now
-                after(2 * SECOND + random.nextLong(8 * SECOND)) { boot(id) }
+                after(size.boots.first + random.nextLong(size.boots.last - size.boots.first)) { boot(id) }
                 id
             }
         }
