Outcomes of calls are always heard: defects of one call or event cost no others

A call that failed with any exception but those of I/O lost its outcome, and an exception in one event dropped the rest of the batch: what was reserved until then stayed so. Calls to the state service have threads for eight transactions, half of them unanswered, beside a watch, the lease and a catch-up.

--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -17,6 +17,7 @@
 import mintpick.wire.StoredStage
 import mintpick.wire.WireJson
 import mintpick.wire.decodeHint
+import org.slf4j.LoggerFactory
 import java.util.random.RandomGenerator
 
 /**
@@ -63,7 +64,7 @@
         events: List<Event>,
     ): List<Effect> {
         kernel.begin(now, wall)
-        events.forEach(::handle)
+        events.forEach(::handleAlone)
         link.tick()
         standing.tick()
         ownership.tick()
@@ -84,6 +85,15 @@
         return kernel.takeEffects()
     }
 
+    /** A defect met by one event must not cost the others, outcomes of calls that somebody waits for among them. */
+    private fun handleAlone(event: Event) {
+        try {
+            handle(event)
+        } catch (e: RuntimeException) {
+            LOG.error("event failed kind={}", event::class.simpleName, e)
+        }
+    }
+
     private fun handle(event: Event) {
         when (event) {
             is Event.Submit -> desk.submit(event.spec, event.reply)
@@ -206,6 +216,7 @@
         }
 
     companion object {
+        private val LOG = LoggerFactory.getLogger(Engine::class.java)
         private const val OK = 200
         const val PROTOBUF = "application/x-protobuf"
         private const val PLAN_EVERY: Micros = 40 * MILLI
--- a/src/main/kotlin/mintpick/engine/StateLink.kt
+++ b/src/main/kotlin/mintpick/engine/StateLink.kt
@@ -76,10 +76,13 @@
 
     /**
      * Transactions that may still be answered soon. One that is late, while the service has answered what left after it, has
-     * lost its answer: it must not hold up others until it is given up.
+     * lost its answer: it must not hold up others until it is given up, as long as calls are left for leases and questions.
      */
     val transactionsOpen: Int
-        get() = openSince.values.count { sent -> kernel.now - sent < ANSWER_LATE || (lastServedUs ?: 0) <= sent }
+        get() {
+            val answerable = openSince.values.count { sent -> kernel.now - sent < ANSWER_LATE || (lastServedUs ?: 0) <= sent }
+            return maxOf(answerable, openSince.size - MOST_LOST)
+        }
 
     /** False from the first failure on until something is served again. */
     val reachable: Boolean get() = (lastServedUs ?: -1) >= lastFailedUs || kernel.now - (lastServedUs ?: 0) < GRACE
@@ -389,6 +392,7 @@
         private const val RETRY: Micros = 250 * MILLI
         private const val BACK_OFF: Micros = 100 * MILLI
         private const val GRACE: Micros = 300 * MILLI
+        private const val MOST_LOST = 4
         private const val ANSWER_LATE: Micros = 400 * MILLI
         const val LEASE_TTL: Micros = 5 * SECOND
         private const val TOUCH_EVERY: Micros = SECOND
--- a/src/main/kotlin/mintpick/net/HttpCaller.kt
+++ b/src/main/kotlin/mintpick/net/HttpCaller.kt
@@ -60,6 +60,9 @@
             LOG.debug("call failed target={} path={} reason={}", call.target, call.path, e.toString())
         } catch (e: HttpException) {
             LOG.debug("call failed target={} path={} reason={}", call.target, call.path, e.toString())
+        } catch (e: RuntimeException) {
+            // Whoever waits for the outcome must hear of it: what is reserved for a call is held until then.
+            LOG.warn("call failed target={} path={}", call.target, call.path, e)
         }
         line?.close()
         return if (sent) Outcome.Unanswered else Outcome.NotSent
@@ -111,7 +114,9 @@
 
     companion object {
         private val LOG = LoggerFactory.getLogger(HttpCaller::class.java)
-        private const val STATE_THREADS = 6
+
+        /** Eight transactions, half of them without an answer, beside a watch, a lease's renewal and a catch-up. */
+        private const val STATE_THREADS = 12
         private const val CLOUD_THREADS = 3
         private const val CORE_THREADS = 2
         private const val WORKER_THREADS = 48
