--- a/src/main/kotlin/mintpick/engine/StateLink.kt
+++ b/src/main/kotlin/mintpick/engine/StateLink.kt
@@ -131,15 +131,20 @@
         val firstRevision = loading.firstRevision ?: page.revision.also { loading.firstRevision = it }
         if (page.more && page.items.isNotEmpty()) {
             loading.lastKey = page.items.last().key
-        } else {
-            // Pages are not one moment: the watch starts at the first page's revision and repeats what changed meanwhile.
-            kernel.replica.reached(firstRevision)
-            loading.hasAllPages = true
+            return load()
         }
-        load()
+        // Pages are not one moment: the watch starts at the first page's revision and repeats what changed meanwhile.
+        kernel.replica.reached(firstRevision)
+        loading.hasAllPages = true
+        if (loading.lastKey == null) endLoad() else load()
     }
 
-    /** Nobody serves before that: a guard from a later page would hold although changes from before it are not known. */
+    private fun endLoad() {
+        phase = if (lease == null) Phase.JOINING else Phase.SERVING
+        LOG.info("loaded revision={} jobs={}", kernel.replica.revision, kernel.replica.jobs.size)
+    }
+
+    /** With several pages nobody serves before that: a guard from a later page would hold although changes from before it are not known. */
     private fun closeLoad() {
         busy = true
         val sent = kernel.now
@@ -148,12 +153,7 @@
             val result = protocol.readEvents(outcome)
             note(sent, result)
             busy = false
-            if (take(result)) {
-                phase = if (lease == null) Phase.JOINING else Phase.SERVING
-                LOG.info("loaded revision={} jobs={}", kernel.replica.revision, kernel.replica.jobs.size)
-            } else {
-                nextLoadUs = kernel.now + RETRY
-            }
+            if (take(result)) endLoad() else nextLoadUs = kernel.now + RETRY
         }
     }
 
