An attempt whose requeue may be carried out late is not started again

While the outcome of such a transaction is not known its attempts count as stopping; every requeue but that of a machine that is gone is guarded by the machine's claim, so that it fails under the next owner. A late refusal to renew an earlier lease no longer ends the present one.

--- a/src/main/kotlin/mintpick/engine/Changes.kt
+++ b/src/main/kotlin/mintpick/engine/Changes.kt
@@ -1,5 +1,6 @@
 package mintpick.engine
 
+import mintpick.core.AttemptId
 import mintpick.core.Job
 import mintpick.core.JobId
 import mintpick.core.MachineId
@@ -22,6 +23,7 @@
     private val link: StateLink,
     private val ownership: Ownership,
     private val desk: Desk,
+    private val orders: Orders,
 ) {
     /** What must be written together. */
     private class Part(
@@ -29,6 +31,7 @@
         val guards: Set<Guard>,
         val writes: List<Write>,
         val placed: List<Pair<MachineId, Resources>>,
+        val requeued: List<AttemptId>,
         val bytes: Int,
         val committed: () -> Unit,
         val dropped: () -> Unit = {},
@@ -104,10 +107,16 @@
             pending.taken = true
             val write = Write(Keys.job(id.text), RecordCodec.jobJson(job))
             stored +=
-                Part(id, setOf(Guard(write.key, 0)), listOf(write), emptyList(), size(write), { desk.submitted(id) }) {
-                    pending.taken =
-                        false
-                }
+                Part(
+                    id,
+                    guards = setOf(Guard(write.key, 0)),
+                    writes = listOf(write),
+                    placed = emptyList(),
+                    requeued = emptyList(),
+                    bytes = size(write),
+                    committed = { desk.submitted(id) },
+                    dropped = { pending.taken = false },
+                )
         }
         // Apart from drafts, whose conflicts must not hold them up.
         send(stored, 0)
@@ -166,6 +175,7 @@
             guards,
             writes,
             draft.placed.map { it.second to draft.job.spec.demand },
+            draft.requeued,
             writes.sumOf(::size),
             committed = { if (cancelled) desk.cancelled(id) },
             dropped = { desk.cancellations[id]?.taken = false },
@@ -223,10 +233,17 @@
         open += jobs
         openTeams += teams
         reserve(group, 1.0)
+        val requeued = group.flatMap { it.requeued }
+        orders.requeueSent(requeued)
         link.transact(guards.toList(), writes.values.toList()) { result ->
             open -= jobs.toSet()
             openTeams -= teams
             reserve(group, -1.0)
+            when (result) {
+                is TransactionResult.Committed -> Unit
+                TransactionResult.Unknown -> orders.requeueUnknown(requeued)
+                else -> orders.requeueFailed(requeued)
+            }
             when (result) {
                 is TransactionResult.Committed -> {
                     group.forEach { it.committed() }
--- a/src/main/kotlin/mintpick/engine/Draft.kt
+++ b/src/main/kotlin/mintpick/engine/Draft.kt
@@ -22,6 +22,9 @@
     val touched: Set<Int> get() = edits.filterValues { it.changed }.keys
     val guards = LinkedHashSet<Guard>()
     val placed = ArrayList<Pair<AttemptId, MachineId>>()
+
+    /** Attempts that are over and make way for others. */
+    val requeued = ArrayList<AttemptId>()
     val changed: Boolean get() = stage != before.stage || edits.values.any { it.changed }
 
     private fun build(): Job =
@@ -43,7 +46,9 @@
         task: Int,
         placement: Placement,
     ) {
-        edit(task)?.requeue(task % Job.CHUNK, placement)
+        val edit = edit(task) ?: return
+        edit.requeue(task % Job.CHUNK, placement)
+        requeued += AttemptId(TaskId(before.id, task), placement.attempt)
     }
 
     /** Whether [task] was placed. */
--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -43,7 +43,7 @@
     private val roster = Roster(kernel, link, ownership, fleet, observer)
     private val supply = Supply(kernel, link, ownership, fleet, observer, capacity, roster, orders, scheduling, standing, operators)
     private val desk = Desk(kernel, link)
-    private val changes = Changes(kernel, link, ownership, desk)
+    private val changes = Changes(kernel, link, ownership, desk, orders)
     private val caretaker = Caretaker(kernel, link, ownership, fleet, standing, roster, orders, scheduling)
     private var nextHintUs: Micros = 0
     private var nextPlanUs: Micros = 0
--- a/src/main/kotlin/mintpick/engine/Observer.kt
+++ b/src/main/kotlin/mintpick/engine/Observer.kt
@@ -36,11 +36,8 @@
     private class Facts(
         val done: Map<TaskId, Int>,
         val over: Map<TaskId, Int>,
-        /**
-         * Proven by absence or a lapsed lease, which holds only as long as the machine is ours: its next controller
-         * may send an absent attempt again.
-         */
-        val whileOurs: Boolean,
+        /** The machine is gone for good. Else what is proven holds only as long as the machine is ours. */
+        val isGone: Boolean,
         val freed: Resources,
     )
 
@@ -132,18 +129,17 @@
         tasks: Map<TaskId, Int>,
         before: Facts?,
     ): Facts? {
-        if (machine in gone) return Facts(emptyMap(), tasks.toMap(), false, Resources.ZERO)
+        if (machine in gone) return Facts(emptyMap(), tasks.toMap(), isGone = true, Resources.ZERO)
         val view = fleet.view(machine) ?: return null
         val claim = ownership.control(machine) ?: return null
         val mine = ownership.isMine(claim) && replica.revision >= claim.version
         if (mine && fleet.hasLapsed(view)) {
-            if (before?.whileOurs != true) LOG.debug("lease lapsed machine={}", machine.text)
-            return Facts(emptyMap(), tasks.toMap(), true, Resources.ZERO)
+            if (before?.over?.keys != tasks.keys) LOG.debug("lease lapsed machine={}", machine.text)
+            return Facts(emptyMap(), tasks.toMap(), isGone = false, Resources.ZERO)
         }
         val done = HashMap<TaskId, Int>()
         val over = HashMap<TaskId, Int>()
         var freed = Resources.ZERO
-        var absent = false
         for ((task, attempt) in tasks) {
             val id = AttemptId(task, attempt)
             val job = replica.job(task.job) ?: continue
@@ -156,13 +152,12 @@
                         proof.cause == null && job.stage == StoredStage.OPEN && !orders.isEmptying(view, claim) && id !in orders.stopping
                     if (wanted) continue
                     over[task] = attempt
-                    absent = absent || proof.cause == null
                     if (before?.over?.get(task) != attempt) note(view, id, proof.cause)
                 }
             }
             freed += job.spec.demand
         }
-        return Facts(done, over, absent, freed)
+        return Facts(done, over, isGone = false, freed)
     }
 
     /** Notes in [draft] all that is proven of its job. */
@@ -180,8 +175,8 @@
             for ((task, attempt) in known.over) {
                 if (task.job != id) continue
                 draft.requeue(task.index, Placement(machine, attempt))
-                // Had somebody taken the machine over, they might have answered its worker.
-                if (known.whileOurs) draft.guards += ownership.guards(machine)
+                // Its next controller might have answered its worker, or have started an attempt again that it found absent.
+                if (!known.isGone) draft.guards += ownership.guards(machine)
             }
         }
     }
--- a/src/main/kotlin/mintpick/engine/Orders.kt
+++ b/src/main/kotlin/mintpick/engine/Orders.kt
@@ -115,6 +115,18 @@
         estimateS: Double,
     ): Boolean = isNoticed(view, claim) || (retiring(view) != Retiring.NO && (service || estimateS > DRAIN_PATIENCE_S))
 
+    /**
+     * A transaction that requeues [attempts] is under way. Until its outcome is known they are not started again, as by a
+     * machine that has come back: carried out late, it would have their successors run beside them.
+     */
+    fun requeueSent(attempts: Collection<AttemptId>) = attempts.forEach { stopping.putIfAbsent(it, REQUEUE_SENT) }
+
+    /** That transaction was not and will not be carried out. */
+    fun requeueFailed(attempts: Collection<AttemptId>) = attempts.forEach { stopping.remove(it, REQUEUE_SENT) }
+
+    /** That transaction may be carried out at any later time: only another requeue settles these attempts. */
+    fun requeueUnknown(attempts: Collection<AttemptId>) = attempts.forEach { stopping.replace(it, REQUEUE_SENT, REQUEUE_UNKNOWN) }
+
     /** Forgets stops that are over. */
     fun clean() {
         if (stopping.isEmpty()) return
@@ -128,6 +140,8 @@
     ) = Command(verb, attempt.task.toString(), attempt.attempt, graceS)
 
     companion object {
+        private const val REQUEUE_SENT = "requeue sent"
+        private const val REQUEUE_UNKNOWN = "requeue unknown"
         private const val MAX_GRACE_S = 30L
         private const val DRAIN_PATIENCE_S = 60.0
 
--- a/src/main/kotlin/mintpick/engine/StateLink.kt
+++ b/src/main/kotlin/mintpick/engine/StateLink.kt
@@ -246,7 +246,7 @@
             leaseBusy = false
             val result = protocol.readTouch(outcome)
             note(sent, result)
-            if (result is StateResult.Gone) leaseLost("expired")
+            if (result is StateResult.Gone && this.lease == lease) leaseLost("expired")
             if (result is StateResult.Limited) nextTouchUs = kernel.now + RETRY
         }
     }
