--- a/src/test/kotlin/mintpick/sim/CancellationBoundTest.kt
+++ b/src/test/kotlin/mintpick/sim/CancellationBoundTest.kt
@@ -137,6 +137,49 @@
             (1L..3L).map { seed -> DynamicTest.dynamicTest("$name, seed $seed") { play(seed, meanwhile = trouble) } }
         }
 
+    /** Meeting 11: there is no outage, so the old leader's part passes on while it still answers its workers. */
+    @TestFactory
+    fun `jobs are cancelled through the new leader while the old one has its workers alone`() =
+        (11L..14L).map { seed ->
+            DynamicTest.dynamicTest("seed $seed") {
+                val world = World(seed, Luck()) { Samples.settings(it) }
+                (1..JOBS).forEach { n -> world.after(n * SECOND) { world.user(service(n), null) } }
+                world.run(60 * SECOND)
+                val meeting = Meeting(world)
+                meeting.leader.cutFromState = true
+                meeting.leader.cutFromPeers = true
+                (3..JOBS).forEach { n ->
+                    world.after(n * 2 * SECOND) { meeting.cancel("req-%06d".format(n), meeting.others[n % 2]) }
+                }
+                world.run(130 * SECOND)
+                assertTrue(world.leader() != meeting.leader.settings.node, "another one leads")
+                meeting.leader.cutFromState = false
+                meeting.leader.cutFromPeers = false
+                world.run(160 * SECOND)
+                assertEquals(JOBS - 2, meeting.confirmed.size)
+                assertEquals(
+                    emptyList<String>(),
+                    world.rules.breaches
+                        .distinct()
+                        .take(5),
+                )
+            }
+        }
+
+    /** Meeting 25: answers take up to three seconds while users cancel, and then nobody is served. */
+    @TestFactory
+    fun `jobs are cancelled while the state service is slow and then out`() =
+        (21L..24L).map { seed ->
+            DynamicTest.dynamicTest("seed $seed") {
+                val meeting =
+                    play(seed) {
+                        world.stateTroubles.slow = 300
+                        world.after(20 * SECOND) { world.stateTroubles.slow = 0 }
+                    }
+                assertTrue(meeting.world.stateTroubles.slowAnswers > 0, "answers were slow")
+            }
+        }
+
     /** The bound costs nothing where all controllers are heard: what they answer accounts for all cancellations. */
     @Test
     fun `services go on through an outage that all controllers share`() {
