Meetings 15 and 23: one kind of write is carried out without an answer, at once or late

Seven kinds of writes in two modes, a leader that ends meanwhile, users who look closely at all nodes. No guard has been taken out against these yet.

--- a/src/test/kotlin/mintpick/sim/StateMeetingsTest.kt
+++ b/src/test/kotlin/mintpick/sim/StateMeetingsTest.kt
@@ -24,7 +24,9 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
 import java.util.SplittableRandom
 
 /** Troubles of the state service that meet others: what is carried out late or unanswered, slow, or refused to one alone. */
@@ -267,7 +269,72 @@
         assertEquals(1, firstPages)
     }
 
+    private fun Transaction.puts(vararg prefixes: String): Boolean =
+        changes.any { change ->
+            prefixes.any {
+                change.put?.startsWith(it)
+                    ?: false
+            }
+        }
+
+    private fun Transaction.putsJob(stage: StoredStage): Boolean =
+        changes.any { change ->
+            change.put?.startsWith(Keys.job("")) == true && change.value?.let { RecordCodec.decodeJob(it).stage } == stage
+        }
+
+    /** Placements are guarded by the claims on their machines. */
+    private fun Transaction.places(): Boolean =
+        puts(Keys.job(""), Keys.chunk("", 1).dropLast(2)) &&
+            guards.any { it.key.startsWith(SHARD) || it.key.startsWith(BORROW) }
+
+    private val kinds =
+        mapOf<String, (Transaction) -> Boolean>(
+            "submission" to { it.guards.any { guard -> guard.version == 0L && guard.key.startsWith(Keys.job("")) } },
+            "cancellation" to { it.putsJob(StoredStage.CANCELLED) },
+            "placement" to { it.places() },
+            "completion" to { it.putsJob(StoredStage.DONE) },
+            "claim" to { it.puts(SHARD, BORROW, Keys.LEADER) },
+            "team reservation" to { it.puts(Keys.team("")) },
+            "fleet record" to { it.puts(FLEET) },
+        )
+
+    /**
+     * Meetings 15 and 23: one kind of write gets no answer for 15 s, in which the leader ends. What is carried out at once
+     * is read by others before its writer knows; what is carried out late meets the newer writes of the same controllers.
+     */
+    @TestFactory
+    fun `writes of one kind are carried out without an answer`() =
+        kinds.flatMap { (kind, picks) -> listOf(true, false).map { atOnce -> Triple(kind, picks, atOnce) } }.map { (kind, picks, atOnce) ->
+            DynamicTest.dynamicTest("$kind ${if (atOnce) "at once" else "late"}") {
+                val world = World(115, Luck(), Size(machines = 20)) { Samples.settings(it) }
+                val users = UserTroubles(world)
+                (1..JOBS).forEach { n ->
+                    val spec = Samples.spec("req-%06d".format(n), if (n % 2 == 0) "red" else "blue", 1 + n % 4, cpus = 1.0, estimateS = 3.0)
+                    world.after(5 * SECOND + n * SECOND / 2) { users.begin(spec, if (n % 4 < 2) n % 5 * SECOND else null) }
+                }
+                world.stateTroubles.atOnce = atOnce
+                world.stateTroubles.picks = { _, transaction -> picks(transaction) }
+                world.after(12 * SECOND) { world.stateTroubles.lost = 1000 }
+                world.after(18 * SECOND) { world.nodes.first { it.settings.node == world.leadership()?.node }.crash(6 * SECOND) }
+                world.after(27 * SECOND) { world.stateTroubles.lost = 0 }
+                world.run(150 * SECOND)
+                val lost = world.stateTroubles.lostOnes
+                assertTrue(world.stateTroubles.carriedOut().isNotEmpty(), "${lost.size} lost, none carried out")
+                assertEquals(
+                    emptyList<String>(),
+                    world.rules.breaches
+                        .distinct()
+                        .take(5),
+                )
+                assertEquals(emptyList<Int>(), (1..JOBS).filter { !world.rules.isFinal("req-%06d".format(it)) })
+            }
+        }
+
     private companion object {
         const val LAST = 999
+        const val JOBS = 60
+        val SHARD = Keys.shard(0).dropLast(1)
+        val BORROW = Keys.borrow("")
+        val FLEET = Keys.fleet(0).dropLast(1)
     }
 }
