--- a/src/test/kotlin/mintpick/core/MachineViewTest.kt
+++ b/src/test/kotlin/mintpick/core/MachineViewTest.kt
@@ -122,7 +122,7 @@
 
     /**
      * The last answer before a worker reached nobody held a start. In its next session it drops that answer, so what
-     * was called off there comes to its end before reports get through again.
+     * was cancelled there comes to its end before reports get through again.
      */
     @Test
     fun `a start in an answer is over with the session`() {
--- a/src/test/kotlin/mintpick/sim/ReportMeetingsTest.kt
+++ b/src/test/kotlin/mintpick/sim/ReportMeetingsTest.kt
@@ -275,7 +275,7 @@
      * came, minutes later; and what is sent counts, though nobody's answer renews a lease.
      */
     @TestFactory
-    fun `machines that reach no controller neither double work nor keep what was called off`() =
+    fun `machines that reach no controller neither double work nor keep what was cancelled`() =
         listOf("north", "south", "everywhere").map { zone ->
             DynamicTest.dynamicTest(zone) {
                 val world = working(106)
--- a/src/test/kotlin/mintpick/sim/UserMeetingsTest.kt
+++ b/src/test/kotlin/mintpick/sim/UserMeetingsTest.kt
@@ -46,7 +46,7 @@
         estimateS: Double = 4.0,
     ): JobSpec = Samples.spec(id(n), team = "blue", tasks = tasks, cpus = 1.0, estimateS = estimateS)
 
-    /** Meeting 5: each write's guard, and room for submissions, when a quarter of a stream of jobs is called off. */
+    /** Meeting 5: each write's guard, and room for submissions, when a quarter of a stream of jobs is cancelled. */
     @Test
     fun `one-task jobs come four a second and a quarter is cancelled`() {
         val world = world(105, Size(machines = 30))
@@ -86,13 +86,13 @@
         (1..80).forEach { n -> world.after(10 * SECOND + n * SECOND / 3) { world.user(batch(n, 1 + n % 4, 2.0), null) } }
         world.run(100 * SECOND)
         world.clean()
-        assertTrue(users.calledOffAtEnd.size > 20, "${users.calledOffAtEnd.size} called off at their end")
+        assertTrue(users.cancelledAtEnd.size > 20, "${users.cancelledAtEnd.size} cancelled at their end")
         assertEquals(80, (1..80).count { world.rules.isFinal(id(it)) })
     }
 
-    /** Many running jobs called off at once while their machines hang: what goes on there must be stopped in time. */
+    /** Many running jobs cancelled at once while their machines hang: what goes on there must be stopped in time. */
     @TestFactory
-    fun `running jobs are called off at once while their machines hang`() =
+    fun `running jobs are cancelled at once while their machines hang`() =
         listOf(3L, 12L, 17L, 30L).map { hangS ->
             DynamicTest.dynamicTest("for $hangS s") {
                 val world = world(120 + hangS)
@@ -102,8 +102,8 @@
                 users.cancelNow(25, hangS * SECOND)
                 world.run(120 * SECOND)
                 world.clean()
-                assertTrue(users.calledOff.size > 15 && users.hung.size > 3, "${users.calledOff.size} on ${users.hung.size}")
-                assertTrue(users.calledOff.all { job -> world.rules.isFinal(job) })
+                assertTrue(users.cancelledRunning.size > 15 && users.hung.size > 3, "${users.cancelledRunning.size} on ${users.hung.size}")
+                assertTrue(users.cancelledRunning.all { job -> world.rules.isFinal(job) })
                 assertEquals(emptyList<Long>(), world.rules.startsAfterCancel.filter { it > 2 * SECOND })
             }
         }
--- a/src/test/kotlin/mintpick/sim/UserTroubles.kt
+++ b/src/test/kotlin/mintpick/sim/UserTroubles.kt
@@ -29,11 +29,11 @@
     /** Answers by what was asked and their status. */
     val answers = HashMap<String, Int>()
 
-    /** Jobs that were called off while they ran, and those at the moment of their end. */
-    val calledOff = ArrayList<String>()
-    val calledOffAtEnd = ArrayList<String>()
+    /** Jobs that were cancelled while they ran, and those at the moment of their end. */
+    val cancelledRunning = ArrayList<String>()
+    val cancelledAtEnd = ArrayList<String>()
 
-    /** Machines of tasks that were called off, which hung for a while. */
+    /** Machines of tasks that were cancelled, which hung for a while. */
     val hung = ArrayList<String>()
 
     private fun send(
@@ -194,7 +194,7 @@
             listOf(JsonObject(whole - field), JsonObject(whole + (field to wrong)), JsonObject(whole + (field to JsonNull)))
         }
 
-    /** Calls off [count] jobs that run within a fifth of a second, while up to eight of their machines hang. */
+    /** Cancels [count] jobs that run within a fifth of a second, while up to eight of their machines hang. */
     fun cancelNow(
         count: Int,
         hangUs: Micros,
@@ -221,14 +221,14 @@
             hung += machine.id
         }
         jobs.forEachIndexed { i, job -> world.after(i * (SECOND / 5) / jobs.size) { cancel(job, i % World.NODES) } }
-        calledOff += jobs
+        cancelledRunning += jobs
     }
 
-    /** Calls off a [percent] of the jobs that end, at the moment of their end, for as long as the world runs. */
+    /** Cancels a [percent] of the jobs that end, at the moment of their end, for as long as the world runs. */
     fun cancelAtEnd(percent: Int) {
         world.onLastTaskDone = { job ->
             if (world.random.nextInt(PERCENT) < percent) {
-                calledOffAtEnd += job
+                cancelledAtEnd += job
                 val cancelling = world.random.nextInt(World.NODES)
                 cancel(job, cancelling)
                 rules.spec(job)?.let(::lookClosely)
