--- a/src/test/kotlin/mintpick/sim/StateTroubles.kt
+++ b/src/test/kotlin/mintpick/sim/StateTroubles.kt
@@ -21,9 +21,13 @@
 
     private val random = SplittableRandom(4711)
 
-    /** Transactions that are carried out 2 to 12 s later, or at once if [atOnce], and get no answer. */
+    /** Transactions that are carried out [lateUs] later, or at once if [atOnce], and get no answer. */
     var lost = 0
     var atOnce = false
+    var lateUs: LongRange = LATE_LEAST..LATE_MOST
+
+    /** Hears which of them took effect, as that happens. */
+    var onCarriedOut: (Lost) -> Unit = {}
 
     /** Which transactions may be lost. */
     var picks: (World.Node, Transaction) -> Boolean = { _, _ -> true }
@@ -79,8 +83,13 @@
         val transaction = WireJson.decodeFromString(Transaction.serializer(), requireNotNull(call.body).decodeToString())
         if (!picks(from, transaction) || !hit(lost)) return false
         val noted = Lost(from.name, transaction).also { lostOnes += it }
-        val carryOut = { arrival { status, _ -> noted.status = status } }
-        if (atOnce) carryOut() else world.after(LATE_LEAST + random.nextLong(LATE_MOST - LATE_LEAST), carryOut)
+        val carryOut = {
+            arrival { status, _ ->
+                noted.status = status
+                if (status == OK) onCarriedOut(noted)
+            }
+        }
+        if (atOnce) carryOut() else world.after(lateUs.first + random.nextLong(lateUs.last - lateUs.first), carryOut)
         return true
     }
 
