--- a/src/test/kotlin/mintpick/sim/RequeueDoubtTest.kt
+++ b/src/test/kotlin/mintpick/sim/RequeueDoubtTest.kt
@@ -32,10 +32,18 @@
                 val spec = Samples.spec("req-%06d".format(n), team = "blue", tasks = 2, cpus = 2.0, estimateS = 300.0)
                 world.after(n * SECOND / 4) { world.user(spec, null) }
             }
+            // What ends meanwhile leaves room for the successors.
+            (13..18).forEach { n ->
+                val spec = Samples.spec("req-%06d".format(n), team = "blue", tasks = 2, cpus = 2.0, estimateS = 50.0)
+                world.after(n * SECOND / 4) { world.user(spec, null) }
+            }
             world.run(60 * SECOND)
             world.cloudOut = true
             alone.cutFromPeers = true
-            hung = world.workers.values.filter { it.zone == ZONE && it.held().isNotEmpty() }.take(2)
+            hung =
+                world.workers.values
+                    .filter { it.zone == ZONE && it.held().isNotEmpty() }
+                    .take(2)
             hung.forEach { it.hangingUntilUs = Long.MAX_VALUE }
             world.stateTroubles.lost = 1000
             world.stateTroubles.lateUs = LATE..LATE + SECOND
