--- a/src/test/kotlin/mintpick/sim/AddedRulesTest.kt
+++ b/src/test/kotlin/mintpick/sim/AddedRulesTest.kt
@@ -56,7 +56,7 @@
             },
             "nobody waits for it",
         )
-        assertEquals(emptyList<String>(), world.rules.breaches)
+        world.assertRulesHeld()
     }
 
     /** A start that is sent once and lost blocks its task until the session rises; a second one must not follow it there. */
@@ -78,7 +78,7 @@
         assertTrue(late <= 1, "$late of 8 wait for a machine that does not hear")
         // With the cloud down its own lease settles what it held.
         world.run(100 * SECOND)
-        assertEquals(emptyList<String>(), world.rules.breaches)
+        world.assertRulesHeld()
     }
 
     /** Copies of its reports arrive after a machine is gone, also at controllers that have just started and know no better. */
@@ -106,7 +106,7 @@
             }
         }
         world.run(130 * SECOND)
-        assertEquals(emptyList<String>(), world.rules.breaches)
+        world.assertRulesHeld()
         assertFalse(world.state.keys().any { gone.id in it.second }, "no record of a machine that is gone")
         assertEquals(kept, world.rules.attemptsOn(other.id).intersect(kept), "its work stays where it is")
         assertTrue(other.id in world.workers)
@@ -128,7 +128,7 @@
             node.cutFromPeers = false
             world.rules.calmSinceUs = world.now
             world.run((140 + span) * SECOND)
-            assertEquals(emptyList<String>(), world.rules.breaches)
+            world.assertRulesHeld()
             assertTrue(
                 (1..6).all { n ->
                     (0..1).all { t ->
@@ -174,12 +174,7 @@
                 world.after(120 * SECOND) { world.rules.calmSinceUs = world.now }
                 world.run(300 * SECOND)
                 world.rules.checkServed(world.now)
-                assertEquals(
-                    emptyList<String>(),
-                    world.rules.breaches
-                        .distinct()
-                        .take(5),
-                )
+                world.assertRulesHeld()
             }
         }
 
@@ -204,7 +199,7 @@
         val claims = (world.state.writesByKind["s"] ?: 0) - before
         // Each part in both zones may change hands once or twice; without the guard it was over four hundred times.
         assertTrue(claims in 1..60, "$claims claims")
-        assertEquals(emptyList<String>(), world.rules.breaches)
+        world.assertRulesHeld()
     }
 
     /** Without its bound the handicap of large jobs grows with their size, and while small ones keep coming they never begin. */
@@ -218,6 +213,6 @@
         world.run(260 * SECOND)
         val began = world.rules.startOf("req-900000")
         assertTrue(began != null && began < 240 * SECOND, "began at $began")
-        assertEquals(emptyList<String>(), world.rules.breaches)
+        world.assertRulesHeld()
     }
 }
--- a/src/test/kotlin/mintpick/sim/BacklogTest.kt
+++ b/src/test/kotlin/mintpick/sim/BacklogTest.kt
@@ -56,7 +56,7 @@
                 assertEquals(0, world.empty(), "the fleet is full")
                 val emptyEachSecond = world.emptyEachSecond()
                 assertTrue(emptyEachSecond.max() > MACHINES / 4, "jobs end faster than others can be placed: $emptyEachSecond")
-                assertEquals(emptyList<String>(), world.rules.breaches)
+                world.assertRulesHeld()
                 emptyEachSecond.sum()
             }
         assertTrue(empty.sum() < MACHINES * 11 / 2 * empty.size, "$empty seconds of empty machines")
@@ -76,7 +76,7 @@
                 world.stateTroubles.lost = 450
                 val emptyEachSecond = world.emptyEachSecond()
                 assertTrue(world.stateTroubles.carriedOut().isNotEmpty(), "some were carried out late")
-                assertEquals(emptyList<String>(), world.rules.breaches)
+                world.assertRulesHeld()
                 emptyEachSecond.sum()
             }
         assertTrue(empty < MACHINES * 8, "$empty seconds of empty machines")
--- a/src/test/kotlin/mintpick/sim/CancellationBoundTest.kt
+++ b/src/test/kotlin/mintpick/sim/CancellationBoundTest.kt
@@ -86,12 +86,7 @@
         meeting.meanwhile()
         world.run(62 * SECOND + outage + 20 * SECOND)
         assertTrue(meeting.confirmed.size > 2, "confirmed before the outage: ${meeting.confirmed}")
-        assertEquals(
-            emptyList<String>(),
-            world.rules.breaches
-                .distinct()
-                .take(5),
-        )
+        world.assertRulesHeld()
         return meeting
     }
 
@@ -157,12 +152,7 @@
                 meeting.leader.cutFromPeers = false
                 world.run(160 * SECOND)
                 assertEquals(JOBS - 2, meeting.confirmed.size)
-                assertEquals(
-                    emptyList<String>(),
-                    world.rules.breaches
-                        .distinct()
-                        .take(5),
-                )
+                world.assertRulesHeld()
             }
         }
 
@@ -193,7 +183,7 @@
         world.run(150 * SECOND)
         assertEquals(JOBS * 2, starts)
         assertEquals(starts, world.rules.starts, "no replica lost its lease")
-        assertEquals(emptyList<String>(), world.rules.breaches)
+        world.assertRulesHeld()
     }
 
     private companion object {
--- a/src/test/kotlin/mintpick/sim/GrowthTest.kt
+++ b/src/test/kotlin/mintpick/sim/GrowthTest.kt
@@ -35,12 +35,7 @@
         assertTrue(world.workers.values.count { !it.spot } < 4, "ordinary machines left")
         world.run(64 * SECOND)
         assertEquals(0, world.workers.values.count { !it.spot }, "ordinary machines left")
-        assertEquals(
-            emptyList<String>(),
-            world.rules.breaches
-                .distinct()
-                .take(5),
-        )
+        world.assertRulesHeld()
     }
 
     @Test
@@ -73,12 +68,7 @@
         }
         world.run(110 * SECOND)
         val jobs = services + arrays
-        assertEquals(
-            emptyList<String>(),
-            world.rules.breaches
-                .distinct()
-                .take(5),
-        )
+        world.assertRulesHeld()
         assertTrue(world.workers.size > 500, "${world.workers.size} machines")
         assertTrue(world.rules.starts >= tasks * 9 / 10, "${world.rules.starts} of $tasks tasks started")
         // Stored, placed and finished, with some parts while writes abound: a handful for each job, whatever its tasks
@@ -142,12 +132,7 @@
         world.after(100 * SECOND) { world.zoneOut = null }
         world.after(115 * SECOND) { world.nodes.forEach { it.crash(SECOND / 3) } }
         world.run(140 * SECOND)
-        assertEquals(
-            emptyList<String>(),
-            world.rules.breaches
-                .distinct()
-                .take(5),
-        )
+        world.assertRulesHeld()
         val running =
             (1..services).sumOf { n ->
                 world.workers.values.sumOf { w -> world.rules.attemptsOn(w.id).count { it.startsWith("req-%06d/".format(n)) } }
--- a/src/test/kotlin/mintpick/sim/GuardsTest.kt
+++ b/src/test/kotlin/mintpick/sim/GuardsTest.kt
@@ -137,7 +137,7 @@
         (1..20).forEach { n -> world.after(n * 2 * SECOND) { world.replayEverywhere(copy) } }
         world.run(92 * SECOND)
         assertTrue(held.all { task -> world.workers.values.any { it !== silent && task in world.rules.attemptsOn(it.id) } }, "moved")
-        assertEquals(emptyList<String>(), world.rules.breaches)
+        world.assertRulesHeld()
     }
 
     /** `Fleet.isConfirmed`: a controller that had just started took a copy for a new machine, and wrote it down. */
@@ -298,12 +298,7 @@
         repeat(3) { i -> world.after(i * 2 * SECOND) { world.nodes.forEach { it.crash(SECOND / 3) } } }
         world.after(5 * SECOND) { world.rules.calmSinceUs = world.now }
         world.run(205 * SECOND)
-        assertEquals(
-            emptyList<String>(),
-            world.rules.breaches
-                .distinct()
-                .take(5),
-        )
+        world.assertRulesHeld()
         assertEquals(600, (1..600).count { world.rules.isFinal("req-%06d".format(it)) })
     }
 }
--- a/src/test/kotlin/mintpick/sim/ModelTest.kt
+++ b/src/test/kotlin/mintpick/sim/ModelTest.kt
@@ -50,7 +50,7 @@
         val world = world(1, Luck())
         val jobs = world.jobs(20, 30 * SECOND)
         world.run(180 * SECOND)
-        assertEquals(emptyList<String>(), world.rules.breaches)
+        world.assertRulesHeld()
         assertTrue(world.rules.starts > 20)
         assertTrue(jobs.all { world.rules.isAccepted(it) })
     }
@@ -66,12 +66,7 @@
                 ) { world.after(5 * SECOND + world.random.nextLong(100 * SECOND)) { world.draw(ALL_TROUBLES, 4 * SECOND, 50 * SECOND) } }
                 world.after(20 * SECOND) { world.pollUnknown("req-999999") }
                 world.run(240 * SECOND)
-                assertEquals(
-                    emptyList<String>(),
-                    world.rules.breaches
-                        .distinct()
-                        .take(5),
-                )
+                world.assertRulesHeld()
                 assertTrue(world.rules.starts > 20, "${world.rules.starts} starts")
             }
         }
@@ -82,7 +77,7 @@
         val spec = Samples.spec("req-000001", team = "blue", tasks = 100_000, cpus = 1.0, estimateS = 5.0)
         world.after(SECOND) { world.user(spec, 60 * SECOND) }
         world.run(140 * SECOND)
-        assertEquals(emptyList<String>(), world.rules.breaches)
+        world.assertRulesHeld()
         assertTrue(world.rules.starts > 50, "${world.rules.starts} starts")
         assertTrue(world.rules.isFinal("req-000001"))
     }
@@ -111,7 +106,7 @@
         world.run(85 * SECOND)
         world.zonesCut = false
         world.run(100 * SECOND)
-        assertEquals(emptyList<String>(), world.rules.breaches)
+        world.assertRulesHeld()
         assertEquals(8, starts)
         assertEquals(starts, world.rules.starts, "no replica had to move")
         assertTrue(running.isNotEmpty() && world.workers.keys.containsAll(running))
@@ -143,12 +138,7 @@
         world.run(90 * SECOND)
         world.zoneOut = null
         world.run(130 * SECOND)
-        assertEquals(
-            emptyList<String>(),
-            world.rules.breaches
-                .distinct()
-                .take(5),
-        )
+        world.assertRulesHeld()
         assertEquals(20, starts)
         assertEquals(starts, world.rules.starts, "no replica had to move")
         assertTrue(world.workers.keys.containsAll(running), "no machine was returned")
@@ -182,12 +172,7 @@
         world.run(110 * SECOND)
         cut.cutFromWorkers = false
         world.run(140 * SECOND)
-        assertEquals(
-            emptyList<String>(),
-            world.rules.breaches
-                .distinct()
-                .take(5),
-        )
+        world.assertRulesHeld()
         assertTrue(
             running.size > 9 && world.workers.keys.containsAll(running),
             "${running.size} machines, ${running.count { it !in world.workers }} returned",
@@ -236,12 +221,7 @@
                 world.after(30 * SECOND + world.random.nextLong(70 * SECOND)) { world.zoneOut = null }
                 world.after(60 * SECOND) { world.cloudOut = false }
                 world.run(260 * SECOND)
-                assertEquals(
-                    emptyList<String>(),
-                    world.rules.breaches
-                        .distinct()
-                        .take(5),
-                )
+                world.assertRulesHeld()
             }
         }
 }
--- a/src/test/kotlin/mintpick/sim/QuickBootTest.kt
+++ b/src/test/kotlin/mintpick/sim/QuickBootTest.kt
@@ -42,12 +42,7 @@
                 assertTrue(world.stateTroubles.carriedOut().isNotEmpty(), "no write was carried out late")
                 assertNotEquals(leader.settings.node, next.settings.node)
                 assertEquals(emptyList<String>(), jobs.map { it.id }.filter { !world.rules.isFinal(it) }, "not ended")
-                assertEquals(
-                    emptyList<String>(),
-                    world.rules.breaches
-                        .distinct()
-                        .take(5),
-                )
+                world.assertRulesHeld()
             }
         }
 }
--- a/src/test/kotlin/mintpick/sim/StateMeetingsTest.kt
+++ b/src/test/kotlin/mintpick/sim/StateMeetingsTest.kt
@@ -320,12 +320,7 @@
                 world.run(150 * SECOND)
                 val lost = world.stateTroubles.lostOnes
                 assertTrue(world.stateTroubles.carriedOut().isNotEmpty(), "${lost.size} lost, none carried out")
-                assertEquals(
-                    emptyList<String>(),
-                    world.rules.breaches
-                        .distinct()
-                        .take(5),
-                )
+                world.assertRulesHeld()
                 assertEquals(emptyList<Int>(), (1..JOBS).filter { !world.rules.isFinal("req-%06d".format(it)) })
             }
         }
