Tests: one sample of a service and one way to ask who leads

Seven spellings of the same service became Samples.service, five ways to find the leader World.leader and leadership.

--- a/src/test/kotlin/mintpick/Samples.kt
+++ b/src/test/kotlin/mintpick/Samples.kt
@@ -106,4 +106,13 @@
         0.0,
         null,
     )
+
+    /** Service number [n], on ordinary machines. */
+    fun service(
+        n: Int,
+        team: String = "red",
+        tasks: Int = 2,
+        cpus: Double = 1.0,
+        spread: Boolean = false,
+    ) = spec("req-%06d".format(n), team, tasks, JobKind.SERVICE, Priority.PRODUCTION, cpus, spot = false, spread = spread)
 }
--- a/src/test/kotlin/mintpick/sim/AddedRulesTest.kt
+++ b/src/test/kotlin/mintpick/sim/AddedRulesTest.kt
@@ -2,9 +2,7 @@
 
 import mintpick.Samples
 import mintpick.core.SECOND
-import mintpick.wire.JobKind
 import mintpick.wire.JobSpec
-import mintpick.wire.Priority
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -23,8 +21,7 @@
     private fun service(
         n: Int,
         tasks: Int = 2,
-    ): JobSpec =
-        Samples.spec("req-%06d".format(n), tasks = tasks, kind = JobKind.SERVICE, priority = Priority.PRODUCTION, cpus = 1.0, spot = false)
+    ): JobSpec = Samples.service(n, tasks = tasks)
 
     private fun World.services(count: Int) = (1..count).forEach { n -> after(n * SECOND / 2) { user(service(n), null) } }
 
--- a/src/test/kotlin/mintpick/sim/CancellationBoundTest.kt
+++ b/src/test/kotlin/mintpick/sim/CancellationBoundTest.kt
@@ -7,12 +7,8 @@
 import mintpick.core.SECOND
 import mintpick.engine.Event
 import mintpick.engine.ReplyTo
-import mintpick.store.Keys
-import mintpick.wire.ClaimRecord
 import mintpick.wire.JobAnswer
-import mintpick.wire.JobKind
 import mintpick.wire.JobSpec
-import mintpick.wire.Priority
 import mintpick.wire.WireJson
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -29,7 +25,7 @@
     private class Meeting(
         val world: World,
     ) {
-        val leader: World.Node = world.nodes.first { it.settings.node == world.leader() }
+        val leader: World.Node = world.leader()
         val others: List<World.Node> = world.nodes - leader
         val confirmed = HashSet<String>()
 
@@ -51,16 +47,7 @@
         }
     }
 
-    private fun service(n: Int): JobSpec =
-        Samples.spec(
-            "req-%06d".format(n),
-            tasks = 2,
-            kind = JobKind.SERVICE,
-            priority = Priority.PRODUCTION,
-            cpus = 1.0,
-            spot = false,
-            spread = true,
-        )
+    private fun service(n: Int): JobSpec = Samples.service(n, spread = true)
 
     /**
      * Brings the meeting about: the leader is refused from 60 s on, all jobs but the first two are cancelled through the
@@ -147,7 +134,7 @@
                     world.after(n * 2 * SECOND) { meeting.cancel("req-%06d".format(n), meeting.others[n % 2]) }
                 }
                 world.run(130 * SECOND)
-                assertTrue(world.leader() != meeting.leader.settings.node, "another one leads")
+                assertTrue(world.leader() !== meeting.leader, "another one leads")
                 meeting.leader.cutFromState = false
                 meeting.leader.cutFromPeers = false
                 world.run(160 * SECOND)
@@ -191,8 +178,3 @@
         const val OK = 200
     }
 }
-
-private fun World.leader(): String {
-    val record = state.keys().first { it.first == Keys.LEADER }.second
-    return WireJson.decodeFromString(ClaimRecord.serializer(), record).node
-}
--- a/src/test/kotlin/mintpick/sim/Delays.kt
+++ b/src/test/kotlin/mintpick/sim/Delays.kt
@@ -4,7 +4,7 @@
 import mintpick.core.SECOND
 import mintpick.net.Call
 import mintpick.net.Target
-import mintpick.store.Keys
+import mintpick.wire.ClaimRecord
 import mintpick.wire.CommandBatch
 import mintpick.wire.MachineReport
 import mintpick.wire.WireJson
@@ -32,7 +32,7 @@
     /** Thousandths of reports of which a copy is kept until a new leader has begun. */
     var keptForNext = 0
     private val kept = ArrayList<MachineReport>()
-    private var leader: String? = null
+    private var leader: ClaimRecord? = null
 
     /** How often a new leader was met by copies, and how many there were. */
     var leadersMet = 0
@@ -75,7 +75,7 @@
     /** Brings what was kept to every controller once another process has become leader. */
     fun tick() {
         if (keptForNext == 0 && kept.isEmpty()) return
-        val now = leaderRecord() ?: return
+        val now = world.leadership() ?: return
         if (leader != null && now != leader && kept.isNotEmpty()) {
             leadersMet++
             copiesDelivered += kept.size
@@ -85,12 +85,6 @@
         leader = now
     }
 
-    private fun leaderRecord(): String? =
-        world.state
-            .keys()
-            .firstOrNull { it.first == Keys.LEADER }
-            ?.second
-
     private companion object {
         const val THOUSAND = 1000
     }
--- a/src/test/kotlin/mintpick/sim/GrowthTest.kt
+++ b/src/test/kotlin/mintpick/sim/GrowthTest.kt
@@ -2,8 +2,6 @@
 
 import mintpick.Samples
 import mintpick.core.SECOND
-import mintpick.wire.JobKind
-import mintpick.wire.Priority
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.DynamicTest
@@ -48,16 +46,7 @@
             val size = 4 + n % 6
             tasks += size
             val spec =
-                Samples.spec(
-                    "req-%06d".format(n),
-                    team = "blue",
-                    tasks = size,
-                    kind = JobKind.SERVICE,
-                    priority = Priority.PRODUCTION,
-                    cpus = 1.0,
-                    spot = false,
-                    spread = true,
-                )
+                Samples.service(n, team = "blue", tasks = size, spread = true)
             world.after(n * SECOND / 8) { world.user(spec, null) }
         }
         (1..arrays).forEach { n ->
@@ -102,15 +91,7 @@
         val services = machines / 20
         (1..services).forEach { n ->
             val spec =
-                Samples.spec(
-                    "req-%06d".format(n),
-                    team = "blue",
-                    tasks = 4,
-                    kind = JobKind.SERVICE,
-                    priority = Priority.PRODUCTION,
-                    cpus = 2.0,
-                    spot = false,
-                )
+                Samples.service(n, team = "blue", tasks = 4, cpus = 2.0)
             world.after(n * 15 * SECOND / services) { world.user(spec, null) }
         }
         (1..4).forEach { round ->
--- a/src/test/kotlin/mintpick/sim/GuardsTest.kt
+++ b/src/test/kotlin/mintpick/sim/GuardsTest.kt
@@ -10,10 +10,8 @@
 import mintpick.net.Answer
 import mintpick.store.Keys
 import mintpick.store.RecordCodec
-import mintpick.wire.JobKind
 import mintpick.wire.JobSpec
 import mintpick.wire.MachineReport
-import mintpick.wire.Priority
 import mintpick.wire.WireJson
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
@@ -33,8 +31,7 @@
     private fun service(
         n: Int,
         tasks: Int = 2,
-    ): JobSpec =
-        Samples.spec("req-%06d".format(n), tasks = tasks, kind = JobKind.SERVICE, priority = Priority.PRODUCTION, cpus = 1.0, spot = false)
+    ): JobSpec = Samples.service(n, tasks = tasks)
 
     private fun batch(
         n: Int,
--- a/src/test/kotlin/mintpick/sim/LeadershipMeetingsTest.kt
+++ b/src/test/kotlin/mintpick/sim/LeadershipMeetingsTest.kt
@@ -51,8 +51,6 @@
         zone: String? = null,
     ): JobSpec = Samples.spec(id(n), team, tasks, cpus = cpus, estimateS = estimateS, oneZone = oneZone, zone = zone)
 
-    private fun World.leader(): World.Node = nodes.first { it.settings.node == leadership()?.node }
-
     private fun World.isRunning(job: JobSpec): Boolean = (0 until job.tasks).all { "${job.id}/$it" in rules.running }
 
     private fun World.isRunning(n: Int): Boolean = isRunning(requireNotNull(rules.spec(id(n))))
--- a/src/test/kotlin/mintpick/sim/ModelTest.kt
+++ b/src/test/kotlin/mintpick/sim/ModelTest.kt
@@ -3,11 +3,8 @@
 import mintpick.Samples
 import mintpick.core.Micros
 import mintpick.core.SECOND
-import mintpick.store.Keys
-import mintpick.wire.ClaimRecord
 import mintpick.wire.JobKind
 import mintpick.wire.Priority
-import mintpick.wire.WireJson
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.DynamicTest
@@ -88,15 +85,7 @@
         val world = world(3, Luck())
         (1..4).forEach { n ->
             val spec =
-                Samples.spec(
-                    "req-%06d".format(n),
-                    tasks = 2,
-                    kind = JobKind.SERVICE,
-                    priority = Priority.PRODUCTION,
-                    cpus = 1.0,
-                    spot = false,
-                    spread = true,
-                )
+                Samples.service(n, spread = true)
             world.after(n * SECOND) { world.user(spec, null) }
         }
         world.run(60 * SECOND)
@@ -112,16 +101,7 @@
         assertTrue(running.isNotEmpty() && world.workers.keys.containsAll(running))
     }
 
-    private fun spread(n: Int) =
-        Samples.spec(
-            "req-%06d".format(n),
-            tasks = 4,
-            kind = JobKind.SERVICE,
-            priority = Priority.PRODUCTION,
-            cpus = 1.0,
-            spot = false,
-            spread = true,
-        )
+    private fun spread(n: Int) = Samples.service(n, tasks = 4, spread = true)
 
     /**
      * Two thirds of a zone that was cut off once lost their leases, and were returned, beside a controller that could
@@ -150,15 +130,7 @@
         val world = World(22, Luck(), Size(machines = 60)) { Samples.settings(it) }
         (1..24).forEach { n ->
             val spec =
-                Samples.spec(
-                    "req-%06d".format(n),
-                    team = "blue",
-                    tasks = 4,
-                    kind = JobKind.SERVICE,
-                    priority = Priority.PRODUCTION,
-                    cpus = 4.0,
-                    spot = false,
-                )
+                Samples.service(n, team = "blue", tasks = 4, cpus = 4.0)
             world.after(n * SECOND / 4) { world.user(spec, null) }
         }
         world.run(60 * SECOND)
@@ -167,7 +139,7 @@
                 .filter { world.rules.attemptsOn(it.id).isNotEmpty() }
                 .map { it.id }
         val starts = world.rules.starts
-        val cut = world.nodes.first { node -> node.settings.node == world.leader() }
+        val cut = world.leader()
         cut.cutFromWorkers = true
         world.run(110 * SECOND)
         cut.cutFromWorkers = false
@@ -180,17 +152,6 @@
         assertEquals(starts, world.rules.starts, "no replica had to move")
     }
 
-    private fun World.leader(): String =
-        WireJson
-            .decodeFromString(
-                ClaimRecord.serializer(),
-                state
-                    .keys()
-                    .first {
-                        it.first == Keys.LEADER
-                    }.second,
-            ).node
-
     /** Whoever stands in ends in time for cancellations, and nobody takes over before that: with the cloud down only leases tell. */
     @TestFactory
     fun `a zone cut off for long breaks no rule`() =
--- a/src/test/kotlin/mintpick/sim/QuickBootTest.kt
+++ b/src/test/kotlin/mintpick/sim/QuickBootTest.kt
@@ -11,8 +11,6 @@
 
 /** Machines that boot at once meet writes that lag and the end of the leader. */
 class QuickBootTest {
-    private fun World.leader(): World.Node = nodes.first { it.settings.node == leadership()?.node }
-
     /** Machines are up within two seconds and get work while writes are carried out late, and the leader ends. */
     @TestFactory
     fun `machines that are up at once finish their work while writes lag and the leader ends`() =
--- a/src/test/kotlin/mintpick/sim/Records.kt
+++ b/src/test/kotlin/mintpick/sim/Records.kt
@@ -14,6 +14,9 @@
         .firstOrNull { it.first == Keys.LEADER }
         ?.let { WireJson.decodeFromString(ClaimRecord.serializer(), it.second) }
 
+/** The controller that leads. */
+internal fun World.leader(): World.Node = nodes.first { it.settings.node == leadership()?.node }
+
 /** Tasks that have completed while the records count none of their jobs as done. */
 internal fun World.unwritten(
     jobs: List<JobSpec>,
