--- a/src/main/kotlin/mintpick/engine/Replica.kt
+++ b/src/main/kotlin/mintpick/engine/Replica.kt
@@ -72,7 +72,7 @@
         private set
     var types: Map<String, MachineType> = emptyMap()
         private set
-    private val tables = HashMap<Int, Set<MachineId>>()
+    private val tables = HashMap<Keys.Subject.Fleet, Set<MachineId>>()
     private val waitingIds = LinkedHashSet<JobId>()
 
     /** Machines whose assigned tasks or records have changed since this was last emptied. */
@@ -180,7 +180,7 @@
                 }
                 touched += MachineId(subject.machine)
             }
-            is Keys.Subject.Fleet -> applyFleet(subject.part, value)
+            is Keys.Subject.Fleet -> applyFleet(subject, value)
             Keys.Subject.Epoch -> Unit
             is Keys.Subject.Node -> set(nodes, NodeId(subject.node), value) { WireJson.decodeFromJsonElement(NodeRecord.serializer(), it) }
             is Keys.Subject.Usage ->
@@ -205,11 +205,11 @@
     }
 
     private fun applyFleet(
-        part: Int,
+        table: Keys.Subject.Fleet,
         value: JsonElement?,
     ) {
         val after = value?.let(RecordCodec::decodeFleet).orEmpty()
-        for (id in tables[part].orEmpty()) {
+        for (id in tables[table].orEmpty()) {
             if (id in after) continue
             machines.remove(id)
             borrowEnds.remove(id)
@@ -220,12 +220,14 @@
             machines[id] = KnownMachine(id, record)
             touched += id
         }
-        tables[part] = after.keys
+        if (value == null) tables.remove(table) else tables[table] = after.keys
     }
 
-    /** The machines of one part's record. */
-    fun tableOf(part: Int): Map<MachineId, MachineRecord> =
-        tables[part].orEmpty().mapNotNull { id -> machines[id]?.let { id to it.record } }.toMap()
+    /** The machines of one part, by the pieces that its list is kept in. */
+    fun tablesOf(part: Int): Map<Int, Map<MachineId, MachineRecord>> =
+        tables.filterKeys { it.part == part }.entries.associate { (table, ids) ->
+            table.piece to ids.mapNotNull { id -> machines[id]?.let { id to it.record } }.toMap()
+        }
 
     private inline fun <K, V> set(
         map: MutableMap<K, V>,
--- a/src/main/kotlin/mintpick/engine/Roster.kt
+++ b/src/main/kotlin/mintpick/engine/Roster.kt
@@ -5,7 +5,6 @@
 import mintpick.core.Micros
 import mintpick.core.SECOND
 import mintpick.store.Keys
-import mintpick.store.RecordCodec
 import mintpick.store.TransactionResult
 import mintpick.wire.Guard
 import mintpick.wire.MachineRecord
@@ -99,29 +98,31 @@
         marked: Map<MachineId, Mark>,
         dropped: List<KnownMachine>,
     ) {
-        val table = HashMap(replica.tableOf(part))
-        table += added
-        marked.forEach { (id, mark) -> (table[id] ?: replica.machines[id]?.record)?.let { table[id] = it.copy(retiring = mark.how) } }
-        dropped.forEach { table.remove(it.id) }
-        val key = Keys.fleet(part)
-        val value = RecordCodec.fleetJson(table)
-        if (value.toString().length > kernel.settings.limits.valueKb * KB) {
-            LOG.error("fleet record full part={} machines={}", part, table.size)
-            nextUs[part] = kernel.now + FULL_WAIT
-            return
-        }
-        busy += part
+        val pieces = FleetPieces(replica.tablesOf(part), kernel.settings.limits.valueKb * KB)
+        // What an earlier version stored in records of their own moves over with its mark.
+        val legacyMarked = marked.keys.mapNotNull { replica.machines[it] }.filter { it.legacy }
+        (legacyMarked.associate { it.id to it.record } + added).forEach { (id, record) -> pieces.add(id, record) }
+        dropped.forEach { pieces.remove(it.id) }
+        val written = marked.filter { (id, mark) -> pieces.mark(id, mark.how) }
+        if (written.size < marked.size) LOG.warn("fleet record full part={} marks={} waiting", part, marked.size - written.size)
+        val changed = pieces.changed(kernel.settings.limits.transactionOps - MAX_OLD * 2, MAX_BYTES)
         nextUs[part] = kernel.now + EVERY
-        val old = (added.keys + marked.keys + dropped.map { it.id }).filter { replica.machines[it]?.legacy == true }.take(MAX_OLD)
-        val borrows = dropped.filter { it.id in replica.borrows }.take(MAX_OLD).map { Keys.borrow(it.id.text) }
+        if (changed.isEmpty()) return
+        busy += part
+        val machines = changed.values.flatMapTo(HashSet()) { it.machines.keys }
+        val gone = dropped.filter { known -> changed.values.any { known.id in it.removed } }.map { it.id }
+        val old = (added.keys + marked.keys).filter { it in machines } + gone
+        val legacy = old.filter { replica.machines[it]?.legacy == true }.take(MAX_OLD).map { Write(Keys.machine(it.text), null) }
+        val borrows = gone.filter { it in replica.borrows }.take(MAX_OLD).map { Write(Keys.borrow(it.text), null) }
         // Borrowings first: of a machine that is struck out after them no end of a borrowing has to be kept.
-        val writes = borrows.map { Write(it, null) } + listOf(Write(key, value)) + old.map { Write(Keys.machine(it.text), null) }
-        link.transact(listOf(Guard(key, replica.version(key))), writes) { result ->
+        val writes = borrows + changed.map { (piece, table) -> Write(Keys.fleet(part, piece), table.value) } + legacy
+        link.transact(guardsOf(part, pieces), writes) { result ->
             busy -= part
             if (result is TransactionResult.Committed) {
-                for ((id, mark) in marked) {
+                for ((id, mark) in written) {
+                    if (id !in machines) continue
                     marks.remove(id, mark)
-                    LOG.info("retire machine={} type={} how={} reason={}", id.text, table[id]?.type, mark.how, mark.reason)
+                    LOG.info("retire machine={} type={} how={} reason={}", id.text, typeOf(id), mark.how, mark.reason)
                 }
             } else {
                 nextUs[part] = kernel.now + RETRY
@@ -130,6 +131,14 @@
         }
     }
 
+    private fun typeOf(machine: MachineId): String? = replica.machines[machine]?.record?.type
+
+    /** All pieces of a part, also those that do not exist yet: a machine must never be listed in two of them. */
+    private fun guardsOf(
+        part: Int,
+        pieces: FleetPieces,
+    ): List<Guard> = pieces.numbers.map { Keys.fleet(part, it) }.map { Guard(it, replica.version(it)) }
+
     companion object {
         private val LOG = LoggerFactory.getLogger(Roster::class.java)
         private const val KB = 1000
@@ -139,7 +148,9 @@
         private const val WRITE_PART = 0.2
         private const val RETRY: Micros = 200 * MILLI
         private const val DROP_WAIT: Micros = 3 * SECOND
-        private const val FULL_WAIT: Micros = 10 * SECOND
+
+        /** Bytes of the pieces that one transaction may carry; the rest is written with the next. */
+        private const val MAX_BYTES = 40_000
         private const val MAX_OLD = 3
     }
 }
--- a/src/main/kotlin/mintpick/store/Keys.kt
+++ b/src/main/kotlin/mintpick/store/Keys.kt
@@ -30,7 +30,11 @@
 
     fun borrow(machine: String) = BORROW + machine
 
-    fun fleet(part: Int) = FLEET + part
+    /** A part's list of machines is split into pieces once it outgrows a value; the first has the part's own name. */
+    fun fleet(
+        part: Int,
+        piece: Int = 0,
+    ) = if (piece == 0) FLEET + part else "$FLEET$part/$piece"
 
     /** Rises with every borrowing from a shard, so that its owner's guards notice any of them. */
     fun epoch(shard: Int) = EPOCH + shard
@@ -69,6 +73,7 @@
 
         data class Fleet(
             val part: Int,
+            val piece: Int = 0,
         ) : Subject
 
         data object Epoch : Subject
@@ -97,7 +102,7 @@
             key.startsWith(JOB) -> Subject.Job(key.substring(JOB.length))
             key.startsWith(CHUNK) -> chunkOf(key.substring(CHUNK.length))
             key.startsWith(SHARD) -> key.substring(SHARD.length).toIntOrNull()?.let { Subject.Shard(it) }
-            key.startsWith(FLEET) -> key.substring(FLEET.length).toIntOrNull()?.let { Subject.Fleet(it) }
+            key.startsWith(FLEET) -> fleetOf(key.substring(FLEET.length))
             key.startsWith(EPOCH) -> Subject.Epoch
             key.startsWith(BORROW) -> Subject.Borrow(key.substring(BORROW.length))
             key.startsWith(MACHINE) -> Subject.Machine(key.substring(MACHINE.length))
@@ -107,6 +112,13 @@
             else -> null
         }
 
+    private fun fleetOf(rest: String): Subject? {
+        val part = rest.substringBefore('/').toIntOrNull() ?: return null
+        if ('/' !in rest) return Subject.Fleet(part)
+        val piece = rest.substringAfter('/').toIntOrNull() ?: return null
+        return if (piece > 0) Subject.Fleet(part, piece) else null
+    }
+
     private fun chunkOf(rest: String): Subject? {
         val index = rest.substringAfterLast('/', "").toIntOrNull() ?: return null
         return if (index > 0) Subject.Chunk(rest.substringBeforeLast('/'), index) else null
--- /dev/null
+++ b/src/test/kotlin/mintpick/engine/FleetPiecesTest.kt
@@ -0,0 +1,70 @@
+package mintpick.engine
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import mintpick.core.MachineId
+import mintpick.store.RecordCodec
+import mintpick.wire.MachineRecord
+import mintpick.wire.Retiring
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class FleetPiecesTest {
+    private fun id(n: Int) = MachineId("host-%06d".format(n))
+
+    private fun record(n: Int) = MachineRecord("type-${n % 2}", "zone-${n % 3}", n % 5 == 0, "10.1.${n / 250}.${n % 250}:9000")
+
+    private fun FleetPieces.all() = changed(Int.MAX_VALUE, Int.MAX_VALUE)
+
+    @Test
+    fun `any number of machines is listed once each in pieces that fit, and all can be marked`(): Unit =
+        runBlocking {
+            checkAll(PropTestConfig(seed = 5, iterations = 12), Arb.int(1..2000), Arb.int(8..32)) { count, kilobytes ->
+                val limit = kilobytes * 1000.0
+                val pieces = FleetPieces(emptyMap(), limit)
+                (0 until count).forEach { pieces.add(id(it), record(it)) }
+                (0 until count).forEach { assertTrue(pieces.mark(id(it), Retiring.DRAIN), "$it of $count in $kilobytes") }
+                val written = pieces.all()
+                val listed = written.values.flatMap { RecordCodec.decodeFleet(it.value).entries }
+                assertEquals(
+                    (0 until count).associate { id(it) to record(it).copy(retiring = Retiring.DRAIN) },
+                    listed.associate { it.toPair() },
+                )
+                assertEquals(count, listed.size)
+                written.values.forEach { assertTrue(it.value.toString().length <= limit, "${it.value.toString().length} of $limit") }
+            }
+        }
+
+    @Test
+    fun `machines stay in their pieces, gaps are used again and untouched pieces are not written`() {
+        val before = FleetPieces(emptyMap(), 16_000.0).apply { (0 until 500).forEach { add(id(it), record(it)) } }.all()
+        val tables = before.mapValues { it.value.machines }
+        assertTrue(tables.size in 2..4, "${tables.size} pieces")
+        val pieces = FleetPieces(tables, 16_000.0)
+        val second = tables.getValue(1).keys.take(20)
+        second.forEach(pieces::remove)
+        (1000 until 1020).forEach { pieces.add(id(it), record(it)) }
+        val after = pieces.all()
+        assertTrue(0 !in after.keys, "the first piece is as it was")
+        assertEquals(second.toSet(), after.getValue(1).removed)
+        after.forEach { (number, piece) -> assertTrue(piece.machines.keys.containsAll(tables[number].orEmpty().keys - second.toSet())) }
+    }
+
+    @Test
+    fun `the next piece is among those that a write is guarded by`() {
+        assertEquals(setOf(0), FleetPieces(emptyMap(), 16_000.0).numbers)
+        val pieces = FleetPieces(emptyMap(), 16_000.0).apply { (0 until 500).forEach { add(id(it), record(it)) } }
+        assertEquals((0..pieces.all().size).toSet(), pieces.numbers)
+    }
+
+    @Test
+    fun `a write carries no more than a transaction holds, and the first piece whatever its size`() {
+        val pieces = FleetPieces(emptyMap(), 16_000.0).apply { (0 until 1000).forEach { add(id(it), record(it)) } }
+        assertEquals(2, pieces.changed(2, Int.MAX_VALUE).size)
+        assertEquals(1, pieces.changed(16, 100).size)
+    }
+}
