Faulty jobs told from faulty machines; standstills; slow boots; demand within team limits

A process that stood still sent what it had decided before. Boots had a fixed wait. Change: FailureTracker, TeamRoom, BootTimes, the clock read again before each effect (Owner), lists of many pages paced and resumed. Ruled out: backoff alone (machines were still emptied), one count of errors for both.

--- a/src/main/kotlin/mintpick/core/Demand.kt
+++ b/src/main/kotlin/mintpick/core/Demand.kt
@@ -14,6 +14,8 @@
 class Shopper(
     private val types: Map<String, MachineType>,
     private val zones: List<String>,
+    /** Whether most of an offer's latest machines were late to boot, or have never come up. */
+    private val troubled: (Offer) -> Boolean = { false },
     /** Whether an offer may be tried now: false for a while after it was refused. */
     private val available: (Offer) -> Boolean,
 ) {
@@ -155,6 +157,12 @@
     ): Double {
         val type = types[offer.type] ?: return Double.MAX_VALUE
         val count = minOf(spec.demand.countIn(type.capacity), maxOf(left, 1))
-        return (if (offer.spot) type.spotPrice else type.price) / maxOf(count, 1)
+        val price = if (offer.spot) type.spotPrice else type.price
+        return price * (if (troubled(offer)) TROUBLED_FACTOR else 1.0) / maxOf(count, 1)
+    }
+
+    private companion object {
+        /** How many times as much a machine may cost that is up in time. */
+        const val TROUBLED_FACTOR = 1.5
     }
 }
--- a/src/main/kotlin/mintpick/engine/Capacity.kt
+++ b/src/main/kotlin/mintpick/engine/Capacity.kt
@@ -1,6 +1,8 @@
 package mintpick.engine
 
 import mintpick.cloud.CloudProtocol
+import mintpick.core.BootKind
+import mintpick.core.BootTimes
 import mintpick.core.MILLI
 import mintpick.core.MachineId
 import mintpick.core.Micros
@@ -30,8 +32,13 @@
         val id: MachineId,
         val offer: Offer,
         val sinceUs: Micros,
-    )
+    ) {
+        /** Whether it has been counted as missing. */
+        var isMissing = false
+        val kind get() = BootKind(offer.type, offer.zone)
+    }
 
+    private val bootTimes = BootTimes()
     private val protocol = CloudProtocol(kernel.settings.cloud.toString())
 
     /** The leader alone rents and returns; lists, which every controller needs, have a part of the limit of their own. */
@@ -44,7 +51,7 @@
     private val releasing = HashSet<MachineId>()
     private val pendingRentals = LinkedHashMap<String, RentalRequest>()
     private val busyRentals = HashSet<String>()
-    private var listing = false
+    private var listing: Listing? = null
     private var nextListUs: Micros = 0
     private var nextTypesUs: Micros = 0
     private var nextReleaseUs: Micros = 0
@@ -68,7 +75,7 @@
         if (kernel.now >= nextNoticeUs) notice()
         if (kernel.now >= nextTypesUs) fetchTypes()
         // Just after a start there is more urgent work than reading a thousand machines.
-        if (!listing && kernel.now >= nextListUs && kernel.now - link.servingSinceUs > SETTLE) list()
+        if (kernel.now >= nextListUs && kernel.now - link.servingSinceUs > SETTLE) list()
         retryRentals()
         if (ownership.isLeader && standing.healthy() && kernel.now >= nextReleaseUs) release()
     }
@@ -79,11 +86,45 @@
         replica.machinesWithTasks().forEach { firstKnown.putIfAbsent(it, kernel.now) }
         fleet.views().forEach { view ->
             firstKnown.putIfAbsent(view.id, kernel.now)
-            if (fleet.isConfirmed(view)) booting.remove(view.id)
+            if (fleet.isConfirmed(view)) endBoot(view.id)
+        }
+        replica.machines.keys.forEach(::endBoot)
+        booting.values.forEach(::noticeMissing)
+    }
+
+    private fun endBoot(machine: MachineId) {
+        val up = booting.remove(machine) ?: return
+        val heard = fleet.view(machine)?.firstHeardUs ?: return
+        val nominal = bootUs(up)
+        if (!up.isMissing && nominal > 0) bootTimes.booted(up.kind, (heard - up.sinceUs).toDouble() / nominal)
+    }
+
+    /** Whether nobody should wait for it any more. */
+    fun isLate(waiting: Booting): Boolean = isBehind(waiting, bootTimes.lateAfter(waiting.kind))
+
+    private fun noticeMissing(waiting: Booting) {
+        if (waiting.isMissing || !isBehind(waiting, BootTimes.MISSING)) return
+        waiting.isMissing = true
+        val wasTroubled = bootTimes.isTroubled(waiting.kind)
+        bootTimes.missing(waiting.kind)
+        if (!wasTroubled && bootTimes.isTroubled(waiting.kind)) {
+            LOG.warn("machines boot late type={} zone={}", waiting.offer.type, waiting.offer.zone)
         }
-        replica.machines.keys.forEach { booting.remove(it) }
     }
 
+    private fun bootUs(waiting: Booting): Micros = ((replica.types[waiting.offer.type]?.bootS ?: 0.0) * SECOND).toLong()
+
+    private fun isBehind(
+        waiting: Booting,
+        times: Double,
+    ): Boolean {
+        val nominal = bootUs(waiting)
+        return nominal > 0 && kernel.now - waiting.sinceUs > (nominal * times).toLong()
+    }
+
+    /** Machines of this kind boot late or never: another kind does better. */
+    fun isTroubled(offer: Offer): Boolean = bootTimes.isTroubled(BootKind(offer.type, offer.zone))
+
     private fun fetchTypes() {
         if (replica.types.isNotEmpty() && !ownership.isLeader) return
         if (!lists.take(kernel.now, 1.0)) return
@@ -99,43 +140,39 @@
         }
     }
 
-    private fun list() {
-        if (!lists.take(kernel.now, 1.0)) return
-        listing = true
-        page(null, ArrayList(), kernel.now)
+    /** A reading of the cloud's list, page after page; a page that fails is asked for again, those before it are not. */
+    private class Listing(
+        val startedUs: Micros,
+    ) {
+        val machines = ArrayList<ListedMachine>()
+        var isAsked = false
+        var nextUs: Micros = 0
     }
 
-    private fun page(
-        after: String?,
-        before: MutableList<ListedMachine>,
-        startedUs: Micros,
-    ) {
-        kernel.call(protocol.list(after)) { outcome ->
+    private fun list() {
+        val begun = listing
+        // A short list is read at once; a long one at the pace of our part of the limit, which rentals must not lack.
+        if (lists.available(kernel.now) < (if (begun == null) 1.0 else -LIST_AHEAD)) return
+        val open = begun ?: Listing(kernel.now).also { listing = it }
+        if (open.isAsked || kernel.now < open.nextUs) return
+        lists.force(kernel.now, 1.0)
+        open.isAsked = true
+        kernel.call(protocol.list(open.machines.lastOrNull()?.id)) { outcome ->
+            open.isAsked = false
             val result = protocol.readList(outcome)
             if (result is CloudProtocol.Result.Ok) {
-                before += result.value.machines
-                if (result.value.more && result.value.machines.isNotEmpty()) {
-                    lists.force(kernel.now, 1.0)
-                    page(
-                        result.value.machines
-                            .last()
-                            .id,
-                        before,
-                        startedUs,
-                    )
-                } else {
-                    listed(before, startedUs)
-                    endList(if (ownership.isLeader) LIST_EVERY else LIST_EVERY * 2)
-                }
+                open.machines += result.value.machines
+                if (!result.value.more || result.value.machines.isEmpty()) endList(open)
             } else {
-                endList(RETRY)
+                open.nextUs = kernel.now + RETRY
             }
         }
     }
 
-    private fun endList(pause: Micros) {
-        listing = false
-        nextListUs = kernel.now + pause
+    private fun endList(list: Listing) {
+        listing = null
+        nextListUs = kernel.now + if (ownership.isLeader) LIST_EVERY else LIST_EVERY * 2
+        listed(list.machines, list.startedUs)
     }
 
     private fun listed(
@@ -268,8 +305,9 @@
 
     /** Some machines never come up, and are charged until they are returned. */
     private fun isOverdue(waiting: Booting): Boolean {
-        val boot = replica.types[waiting.offer.type]?.bootS ?: return false
-        return kernel.now - waiting.sinceUs > (boot * BOOT_PATIENCE * SECOND).toLong() + BOOT_MARGIN + kernel.settings.listLagUs
+        val nominal = bootUs(waiting)
+        val most = (nominal * bootTimes.lostAfter(waiting.kind)).toLong() + BOOT_MARGIN + kernel.settings.listLagUs
+        return nominal > 0 && kernel.now - waiting.sinceUs > most
     }
 
     companion object {
@@ -277,6 +315,9 @@
         private const val RENT_PART = 0.45
         private const val LIST_PART = 0.45
         private const val RADIX = 36
+
+        /** Pages of the cloud's list that may be read ahead of the limit's pace. */
+        private const val LIST_AHEAD = 4.0
         private const val LAGS = 3
         private const val LAG_MARGIN: Micros = 2 * SECOND
         private const val LIST_EVERY: Micros = 3 * SECOND
@@ -288,7 +329,6 @@
         private const val EMPTY_LEAST: Micros = 600 * MILLI
         private const val LOOK_EVERY: Micros = 100 * MILLI
         private const val RELEASE_EVERY: Micros = 500 * MILLI
-        private const val BOOT_PATIENCE = 3.0
         private const val BOOT_MARGIN: Micros = 10 * SECOND
     }
 }
--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -48,6 +48,7 @@
     private var nextHintUs: Micros = 0
     private var nextPlanUs: Micros = 0
     private var hints = 0
+    private var lastStepUs: Micros = 0
     private var toldLack = false
 
     init {
@@ -64,6 +65,7 @@
         events: List<Event>,
     ): List<Effect> {
         kernel.begin(now, wall)
+        noticeStandstill()
         events.forEach(::handleAlone)
         link.tick()
         standing.tick()
@@ -85,6 +87,20 @@
         return kernel.takeEffects()
     }
 
+    /**
+     * After a standstill leases may be over and calls have failed for our own fault: what the clock no longer proves is given
+     * up before the first event is looked at.
+     */
+    private fun noticeStandstill() {
+        val pause = kernel.now - lastStepUs
+        val stoodStill = lastStepUs != 0L && pause > STANDSTILL
+        lastStepUs = kernel.now
+        if (!stoodStill) return
+        LOG.warn("stood still for_ms={}", pause / MILLI)
+        link.stoodStill()
+        fleet.stoodStill()
+    }
+
     /** A defect met by one event must not cost the others, outcomes of calls that somebody waits for among them. */
     private fun handleAlone(event: Event) {
         try {
@@ -203,6 +219,7 @@
             images.keys.toList(),
             kernel.replica.cancelledJobs(),
             cancelledIsComplete = link.hasLoaded,
+            faultyJobs = observer.failures.faultyJobs().map { it.text },
         )
     }
 
@@ -210,7 +227,7 @@
         fleet.views().filter { view ->
             view.latest != null &&
                 kernel.now - view.reportedUs < settings.reportUs * 2 &&
-                fleet.errorsOn(view.id) == 0 &&
+                !observer.failures.isFaulty(view.id) &&
                 !fleet.isUnreachable(view.id) &&
                 !orders.isEmptying(view, ownership.control(view.id))
         }
@@ -220,6 +237,9 @@
         private const val OK = 200
         const val PROTOBUF = "application/x-protobuf"
         private const val PLAN_EVERY: Micros = 40 * MILLI
+
+        /** Steps are at most a twentieth of a second apart, and a few tenths when the processor is short. */
+        private const val STANDSTILL: Micros = 2_000 * MILLI
         private const val CALM: Micros = 3_000 * MILLI
         private const val HINT_EVERY: Micros = 1_000 * MILLI
         private const val HINT_LEAST: Micros = 250 * MILLI
--- a/src/main/kotlin/mintpick/engine/Fleet.kt
+++ b/src/main/kotlin/mintpick/engine/Fleet.kt
@@ -57,7 +57,6 @@
     private val failures = HashMap<MachineId, Failures>()
     private val reachedUs = HashMap<String, Micros>()
     private val mineSince = HashMap<MachineId, Tenure>()
-    private val errors = HashMap<MachineId, MutableSet<String>>()
     private val buried = HashSet<MachineId>()
     private val heard = HashSet<MachineId>()
     private var suspectCalls = 0
@@ -81,7 +80,6 @@
         buried += machine
         views.remove(machine)
         redirects.remove(machine)
-        errors.remove(machine)
         confirmAfter.remove(machine)
         failures.remove(machine)
         mineSince.remove(machine)
@@ -127,21 +125,19 @@
     val isCutOff: Boolean
         get() = failures.size >= CUT_OFF && kernel.now - (reachedUs.values.maxOrNull() ?: 0) > NONE_REACHED
 
+    /** The process stood still: calls that failed meanwhile, and silences, say nothing of the machines. */
+    fun stoodStill() {
+        failures.clear()
+        stoodStillUs = kernel.now
+    }
+
+    private var stoodStillUs: Micros = 0
+
     /** Calls that failed one after the other, and since when. */
     fun failedCalls(machine: MachineId): Int = failures[machine]?.count ?: 0
 
     fun unreachableSince(machine: MachineId): Micros? = failures[machine]?.sinceUs
 
-    /** Distinct jobs that ended with an error on [machine]. */
-    fun errorsOn(machine: MachineId): Int = errors[machine]?.size ?: 0
-
-    fun failed(
-        machine: MachineId,
-        job: String,
-    ) {
-        errors.getOrPut(machine) { HashSet() } += job
-    }
-
     fun onReport(
         report: MachineReport,
         reply: ReplyTo,
@@ -380,7 +376,8 @@
      * Since when [machine] has said nothing to us although it was ours to command: a machine that has just
      * come under our control was reporting elsewhere until now.
      */
-    fun silentSince(machine: MachineId): Micros = maxOf(views[machine]?.heardUs ?: 0, mineSince[machine]?.sinceUs ?: kernel.now)
+    fun silentSince(machine: MachineId): Micros =
+        maxOf(views[machine]?.heardUs ?: 0, mineSince[machine]?.sinceUs ?: kernel.now, stoodStillUs)
 
     /** Ours since a moment ago, and not yet in touch with us or not yet fully known from the records. */
     fun isSettling(machine: MachineId): Boolean {
--- a/src/main/kotlin/mintpick/engine/Observer.kt
+++ b/src/main/kotlin/mintpick/engine/Observer.kt
@@ -1,6 +1,7 @@
 package mintpick.engine
 
 import mintpick.core.AttemptId
+import mintpick.core.FailureTracker
 import mintpick.core.Job
 import mintpick.core.JobId
 import mintpick.core.MILLI
@@ -13,8 +14,10 @@
 import mintpick.core.SECOND
 import mintpick.core.TaskId
 import mintpick.core.demand
+import mintpick.core.isService
 import mintpick.wire.ExitCause
 import mintpick.wire.StoredStage
+import mintpick.wire.TaskState
 import org.slf4j.LoggerFactory
 
 /**
@@ -27,11 +30,6 @@
     private val fleet: Fleet,
     private val orders: Orders,
 ) {
-    private class Errors(
-        var count: Int,
-        var notBefore: Micros,
-    )
-
     /** What one machine proves and the records do not show yet. */
     private class Facts(
         val done: Map<TaskId, Int>,
@@ -43,7 +41,12 @@
 
     /** Machines proven gone with everything on them. */
     private val gone = HashSet<MachineId>()
-    private val errors = HashMap<JobId, Errors>()
+
+    /** Which jobs and machines are at fault for tasks that end with an error. */
+    val failures = FailureTracker()
+
+    /** Since when replicas of services that have failed before have been running. */
+    private val runningSince = HashMap<AttemptId, Micros>()
     private val fullUntil = HashMap<MachineId, Micros>()
     private val facts = HashMap<MachineId, Facts>()
     private val machinesOf = HashMap<JobId, HashSet<MachineId>>()
@@ -77,8 +80,8 @@
         dirty += machine
     }
 
-    /** A job whose tasks keep failing waits between attempts: it may fail everywhere until its user gives it up. */
-    fun mayPlace(job: JobId): Boolean = kernel.now >= (errors[job]?.notBefore ?: 0)
+    /** A job whose tasks keep failing waits between retries: it may fail everywhere until its user gives it up. */
+    fun mayPlace(job: JobId): Boolean = failures.mayRetry(job, kernel.now)
 
     fun hasRoom(machine: MachineId): Boolean = kernel.now >= (fullUntil[machine] ?: 0)
 
@@ -95,11 +98,17 @@
             // Time proves something of what is ours alone: that its lease has lapsed.
             nextSweepUs = kernel.now + SWEEP
             dirty += fleet.mine
+            forgetFailures()
         }
         dirty.forEach(::examine)
         dirty.clear()
     }
 
+    private fun forgetFailures() {
+        failures.retain({ replica.job(it)?.stage == StoredStage.OPEN }, { it in replica.machines })
+        runningSince.keys.removeIf { replica.job(it.task.job)?.placement(it.task.index)?.attempt != it.attempt }
+    }
+
     private fun examine(machine: MachineId) {
         val before = facts.remove(machine)
         before?.let { old -> (old.done.keys + old.over.keys).forEach { unlink(it.job, machine) } }
@@ -144,15 +153,21 @@
             val id = AttemptId(task, attempt)
             val job = replica.job(task.job) ?: continue
             when (val proof = view.proof(id, if (mine) claim.version else NO_TOKEN)) {
-                Proof.None -> continue
-                Proof.Completed -> done[task] = attempt
+                Proof.None -> {
+                    if (job.spec.isService && failures.hasFailed(task.job)) watchReplica(view, id)
+                    continue
+                }
+                Proof.Completed -> {
+                    done[task] = attempt
+                    if (before?.done?.get(task) != attempt) failures.succeeded(machine, task.job)
+                }
                 is Proof.Over -> {
                     // Absent and still wanted here: it will be sent again, which is quicker than another assignment.
                     val wanted =
                         proof.cause == null && job.stage == StoredStage.OPEN && !orders.isEmptying(view, claim) && id !in orders.stopping
                     if (wanted) continue
                     over[task] = attempt
-                    if (before?.over?.get(task) != attempt) note(view, id, proof.cause)
+                    if (before?.over?.get(task) != attempt) note(view, id, job, proof.cause)
                 }
             }
             freed += job.spec.demand
@@ -214,27 +229,33 @@
             known += here.done.keys.count { it.job == id }
             val over = here.over.keys.count { it.job == id }
             known += over
-            if (over > 0 && job.stage == StoredStage.OPEN) return true
+            // What a faulty job leaves behind is written with the rest of it: nobody waits for its next failure.
+            if (over > 0 && job.stage == StoredStage.OPEN && !failures.isFaulty(id)) return true
         }
         // Nothing of it is left that could be proven here soon: it has ended, or what is left waits or is elsewhere.
         return known >= job.placements().count { (_, at) -> ownership.controls(at.machine) }
     }
 
+    /** A service never completes: a replica that goes on running shows that its job is not at fault. */
+    private fun watchReplica(
+        view: MachineView,
+        attempt: AttemptId,
+    ) {
+        if (view.state(attempt)?.state != TaskState.RUNNING) return
+        val since = runningSince.getOrPut(attempt) { kernel.now }
+        if (kernel.now - since > RUNS_WELL) failures.succeeded(view.id, attempt.task.job)
+    }
+
     private fun note(
         view: MachineView,
         attempt: AttemptId,
+        job: Job,
         cause: ExitCause?,
     ) {
         val machine = view.id
         when (cause) {
             ExitCause.ERROR -> {
-                fleet.failed(machine, attempt.task.job.text)
-                val errors = errors.getOrPut(attempt.task.job) { Errors(0, 0) }
-                if (errors.notBefore <= kernel.now) {
-                    errors.count++
-                    errors.notBefore = kernel.now + minOf(MAX_PAUSE, FIRST_PAUSE shl minOf(errors.count, MAX_DOUBLINGS))
-                }
-                LOG.info("task failed task={} attempt={} machine={}", attempt.task, attempt.attempt, machine.text)
+                noteFailure(machine, attempt, job)
             }
             ExitCause.NO_ROOM, ExitCause.BUSY, ExitCause.UNKNOWN -> {
                 fullUntil[machine] = kernel.now + FULL_PAUSE
@@ -244,12 +265,28 @@
         }
     }
 
+    /** One line for each job and one when it is found faulty: an array that fails whole must not flood the log. */
+    private fun noteFailure(
+        machine: MachineId,
+        attempt: AttemptId,
+        job: Job,
+    ) {
+        val isFirst = !failures.hasFailed(job.id)
+        val wasFaulty = failures.isFaulty(job.id)
+        failures.failed(machine, job.id, hasSucceeded = job.done > 0, kernel.now)
+        if (isFirst) LOG.info("task failed task={} attempt={} machine={}", attempt.task, attempt.attempt, machine.text)
+        LOG.debug("task failed task={} attempt={} machine={}", attempt.task, attempt.attempt, machine.text)
+        if (!wasFaulty && failures.isFaulty(job.id)) {
+            LOG.warn("job fails wherever it runs job={} team={} class={}", job.id.text, job.spec.team, job.spec.jobClass)
+        }
+    }
+
     companion object {
         private val LOG = LoggerFactory.getLogger(Observer::class.java)
         private const val NO_TOKEN = -1L
-        private const val FIRST_PAUSE: Micros = SECOND / 4
-        private const val MAX_DOUBLINGS = 7
-        private const val MAX_PAUSE: Micros = 30 * SECOND
+
+        /** A replica that has been running for so long does not fail at its start. */
+        private const val RUNS_WELL: Micros = 30 * SECOND
         private const val FULL_PAUSE: Micros = SECOND
         private const val SWEEP: Micros = SECOND
 
--- a/src/main/kotlin/mintpick/engine/Owner.kt
+++ b/src/main/kotlin/mintpick/engine/Owner.kt
@@ -3,6 +3,8 @@
 import mintpick.core.MILLI
 import mintpick.core.Micros
 import mintpick.net.Call
+import mintpick.net.Outcome
+import mintpick.net.errorAnswer
 import org.slf4j.LoggerFactory
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -22,6 +24,9 @@
     /** Whether requests should come here; a thread that stands still or falls far behind takes none. */
     fun isUp(): Boolean = up && steadyUs() - steppedUs < STUCK
 
+    /** Outcomes of calls that were not made; the owner must not wait for room in its own queue. */
+    private val unsent = ArrayList<Event>()
+
     @Volatile private var up = false
 
     @Volatile private var steppedUs: Micros = 0
@@ -35,9 +40,11 @@
             batch.clear()
             queue.poll(IDLE, TimeUnit.MICROSECONDS)?.let(batch::add)
             queue.drainTo(batch, BATCH)
+            batch += unsent
+            unsent.clear()
             try {
                 val now = steadyUs()
-                engine.step(now, wallUs(), batch).forEach(::perform)
+                engine.step(now, wallUs(), batch).forEach { if (steadyUs() - now > STALE) refuse(it) else perform(it) }
                 up = engine.isUp
                 steppedUs = now
             } catch (e: RuntimeException) {
@@ -47,6 +54,17 @@
         }
     }
 
+    /**
+     * The process stood still since the step began: what was decided then may be overtaken, by a lease that has ended or by
+     * what other controllers have said since. Nothing of it leaves; whoever waits is to ask again.
+     */
+    private fun refuse(effect: Effect) {
+        when (effect) {
+            is Effect.Send -> effect.reply.answer(errorAnswer(UNAVAILABLE, "stood still", RETRY_S))
+            is Effect.Start -> unsent += Event.CallDone(effect.id, Outcome.NotSent)
+        }
+    }
+
     private fun perform(effect: Effect) {
         when (effect) {
             is Effect.Send -> effect.reply.answer(effect.answer)
@@ -60,5 +78,10 @@
         private const val BATCH = 256
         private const val STUCK: Micros = 2_000 * MILLI
         private const val IDLE: Micros = 50 * MILLI
+        private const val UNAVAILABLE = 503
+        private const val RETRY_S = 1
+
+        /** Well below what a lease leaves after its last renewal, and above what a step takes when the processor is short. */
+        private const val STALE: Micros = 1_000 * MILLI
     }
 }
--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -10,6 +10,7 @@
 import mintpick.core.Resources
 import mintpick.core.Room
 import mintpick.core.SECOND
+import mintpick.core.TeamRoom
 import mintpick.core.capacity
 import mintpick.core.demand
 import mintpick.core.isGang
@@ -40,11 +41,11 @@
         val changes: Changes,
         val draftOf: (JobId) -> Draft?,
         val mine: Placer.Rooms,
+        val teams: TeamRoom,
         others: () -> List<Room>,
     ) {
         /** Everybody's machines, which only the leader needs, and only for what no part can hold. */
         val wide: Placer.Rooms by lazy { mine.with(others()) }
-        val teams = HashMap<String, Resources>()
         val toBorrow = LinkedHashSet<MachineId>()
         var writes = 0
         var hurried = false
@@ -53,7 +54,10 @@
     }
 
     private val placer = Placer(kernel.random, operators.placementSample)
-    private val limits = kernel.settings.teams.associateBy { it.name }
+    private val limits =
+        kernel.settings.teams.associate { team ->
+            team.name to Resources(orUnlimited(team.cpusMax), orUnlimited(team.gpusMax), TeamRoom.UNLIMITED)
+        }
     private val still = HashMap<JobId, Still>()
     private var nextPartsUs: Micros = 0
     private var nextPassUs: Micros = 0
@@ -126,14 +130,14 @@
             lacksRoom = false
             return
         }
-        val pass = Pass(changes, draftOf, Placer.Rooms.of(ownRooms(changes))) { othersRooms(changes) }
+        val pass = Pass(changes, draftOf, Placer.Rooms.of(ownRooms(changes)), teamRoom()) { othersRooms(changes) }
         pass.hurried = waiting.size > HURRY
         val budget = changes.budget()
         pass.parts = kernel.now >= nextPartsUs || budget >= plenty
         val left = ArrayList<Job>()
         var short = false
         for (job in order(waiting.values)) {
-            if (!observer.mayPlace(job.id)) continue
+            if (!observer.mayPlace(job.id) || startable(job) == 0) continue
             if (still[job.id]?.version != job.version) still[job.id] = Still(job.version, kernel.now)
             val free = changes.isFree(job.id)
             val rooms = roomsFor(job, pass)
@@ -146,12 +150,13 @@
                 continue
             }
             val placed = if (rooms == null || !free) 0 else place(job, rooms, pass, mayWrite)
-            if (placed < job.waiting) {
+            if (placed < startable(job)) {
                 left += job
                 if (placed == 0 && rooms != null && free && mayWrite && teamMayPlace(job, pass)) {
                     short = true
                     // Another controller may have room, for which nobody has to be stopped.
-                    if (kernel.now - (still[job.id]?.sinceUs ?: kernel.now) >= SEEK_AFTER) preemptor.seek(job, rooms, zonesOf(job))
+                    val waitsLong = kernel.now - (still[job.id]?.sinceUs ?: kernel.now) >= SEEK_AFTER
+                    if (waitsLong && !observer.failures.isFaulty(job.id)) preemptor.seek(job, rooms, zonesOf(job))
                 }
             }
         }
@@ -215,9 +220,10 @@
         mayWrite: Boolean,
     ): Int {
         if (!pass.changes.isTeamFree(job.spec.team)) return 0
-        val limit = minOf(teamRoom(job, pass.teams), MAX_TASKS, job.waiting)
+        val limit = minOf(pass.teams.tasks(job.spec), MAX_TASKS, startable(job))
         if (limit <= 0) return 0
-        val found = placer.place(job.spec, job.waitingTasks(), rooms, zonesOf(job), limit, pass.hurried)
+        val avoided = observer.failures.triedOn(job.id)
+        val found = placer.place(job.spec, job.waitingTasks(), rooms, zonesOf(job), limit, pass.hurried, avoided)
         if (found.isEmpty()) return 0
         // Gangs start whole or not at all.
         if (job.spec.isGang && found.size < job.waiting) return 0
@@ -241,7 +247,7 @@
             if (machine !in machines && machine in replica.borrows && machines.count { it in replica.borrows } >= maxBorrowed) continue
             if (!draft.place(task, machine)) continue
             machines += machine
-            pass.teams.merge(job.spec.team, job.spec.demand, Resources::plus)
+            pass.teams.take(job.spec, 1)
             count++
         }
         machines.forEach { draft.guards += ownership.guards(it) }
@@ -258,13 +264,22 @@
         return count
     }
 
+    /** How many of the waiting tasks of [job] may start now: of one that fails wherever it runs a single one, at its home. */
+    fun startable(job: Job): Int =
+        when {
+            observer.failures.isFaulty(job.id) -> observer.failures.allowance(job.id, job.waiting, job.placed)
+            standing.isFaultyElsewhere(job.id) -> 0
+            else -> job.waiting
+        }
+
     /** Whether there is room for a task of [job]. Gangs need more than that, and say nothing. */
     private fun couldPlace(
         job: Job,
         rooms: Placer.Rooms,
         pass: Pass,
     ): Boolean {
-        if (job.spec.isGang || !pass.changes.isTeamFree(job.spec.team) || teamRoom(job, pass.teams) <= 0) return false
+        if (job.spec.isGang || !pass.changes.isTeamFree(job.spec.team)) return false
+        if (startable(job) == 0 || pass.teams.tasks(job.spec) <= 0) return false
         val found = placer.place(job.spec, job.waitingTasks(), rooms, zonesOf(job), 1, pass.hurried)
         return found.any { (_, machine) -> rooms[machine]?.let { it.own && it.ready } == true }
     }
@@ -274,21 +289,11 @@
 
     private val maxBorrowed = kernel.settings.limits.transactionOps
 
-    /** How many more tasks the team's limit allows. */
-    private fun teamRoom(
-        job: Job,
-        planned: Map<String, Resources>,
-    ): Int {
-        val team = limits[job.spec.team] ?: return 0
-        val used = replica.usedBy(team.name) + (planned[team.name] ?: Resources.ZERO)
-        val limit =
-            Resources(
-                if (team.cpusMax > 0) team.cpusMax - used.cpus else UNLIMITED,
-                if (team.gpusMax > 0) team.gpusMax - used.gpus else UNLIMITED,
-                UNLIMITED,
-            )
-        return job.spec.demand.countIn(limit)
-    }
+    /** The platform's files say 0 where there is no limit. */
+    private fun orUnlimited(limit: Double): Double = if (limit > 0) limit else TeamRoom.UNLIMITED
+
+    /** What teams may still use under their limits as the records stand. */
+    fun teamRoom(): TeamRoom = TeamRoom(limits, replica::usedBy)
 
     /** Whether it is room that [job] waits for. For what its team's limit holds back nobody has to be stopped. */
     private fun teamMayPlace(
@@ -296,7 +301,7 @@
         pass: Pass,
     ): Boolean {
         val least = if (job.spec.isGang) job.waiting else 1
-        return pass.changes.isTeamFree(job.spec.team) && teamRoom(job, pass.teams) >= least
+        return pass.changes.isTeamFree(job.spec.team) && pass.teams.tasks(job.spec) >= least
     }
 
     fun zonesOf(job: Job): Map<String, Int> {
@@ -354,7 +359,7 @@
             fleet.isConfirmed(view) &&
             fleet.isFresh(view) &&
             !fleet.isUnreachable(view.id) &&
-            fleet.errorsOn(view.id) < MAX_ERRORS
+            !observer.failures.isFaulty(view.id)
 
     companion object {
         private val LOG = org.slf4j.LoggerFactory.getLogger(Scheduling::class.java)
@@ -367,8 +372,6 @@
                 .thenBy { it.turn }
                 .thenBy { it.job.id.text }
         private const val MAX_TASKS = 512
-        private const val MAX_ERRORS = 3
-        private const val UNLIMITED = 1e15
         private const val HURRY = 150
         private const val PRODUCTION_WRITES = 0.6
         private const val PASS: Micros = 120 * MILLI
--- a/src/main/kotlin/mintpick/engine/Standing.kt
+++ b/src/main/kotlin/mintpick/engine/Standing.kt
@@ -21,7 +21,9 @@
         /** Its machines as of the last hint that listed them, with when each last reported, on our clock. */
         val machines: Map<String, Micros>,
         val images: Map<String, Set<String>>,
-    )
+    ) {
+        val faultyJobs: Set<String> = hint.faultyJobs.toSet()
+    }
 
     /** Hints of ours that a peer has answered one soon after the other, by when they left. */
     private class Contact(
@@ -69,6 +71,9 @@
         if (cancelledElsewhere.isNotEmpty()) cancelledElsewhere.values.removeIf { it < known }
     }
 
+    /** Whether another controller that we hear has found that [job] fails wherever it runs. */
+    fun isFaultyElsewhere(job: JobId): Boolean = peers.values.any { job.text in it.faultyJobs && kernel.now - it.atUs < FRESH }
+
     /** Whether another controller has told us of a cancellation of [job] that our records may not show yet. */
     fun cancelledElsewhere(job: JobId): Boolean = job in cancelledElsewhere
 
--- a/src/main/kotlin/mintpick/engine/StateLink.kt
+++ b/src/main/kotlin/mintpick/engine/StateLink.kt
@@ -259,6 +259,11 @@
         if (phase == Phase.SERVING) phase = Phase.JOINING
     }
 
+    /** The process stood still: a lease that was not renewed within its time may be over, and what hangs on it taken. */
+    fun stoodStill() {
+        if (kernel.now - (lastServedUs ?: 0) > LEASE_TTL) leaseLost("stood still")
+    }
+
     private fun follow() {
         followOpen = true
         val copy = kernel.replica
--- a/src/main/kotlin/mintpick/engine/Supply.kt
+++ b/src/main/kotlin/mintpick/engine/Supply.kt
@@ -1,12 +1,14 @@
 package mintpick.engine
 
 import mintpick.config.Operators
+import mintpick.core.Job
 import mintpick.core.MachineId
 import mintpick.core.Micros
 import mintpick.core.Resources
 import mintpick.core.Room
 import mintpick.core.SECOND
 import mintpick.core.Shopper
+import mintpick.core.TeamRoom
 import mintpick.core.capacity
 import mintpick.core.demand
 import mintpick.core.isGang
@@ -52,11 +54,11 @@
         nextUs = kernel.now + TICK + TICK * replica.machines.size / MANY
         watchClasses()
         watchIdle()
+        watchHealth()
         // A leader that the state service does not serve has perhaps been replaced already.
         if (!ownership.isLeader || !standing.healthy() || replica.types.isEmpty() || kernel.now - link.servingSinceUs < SETTLE) return
-        watchHealth()
         logFleet()
-        val shopper = Shopper(replica.types, kernel.settings.zones, capacity::available)
+        val shopper = Shopper(replica.types, kernel.settings.zones, capacity::isTroubled, capacity::available)
         val rooms = rooms()
         val plan = shopper.plan(rooms, (waiting(rooms) + expected()).sortedBy { !it.spec.isService }, MAX_NEW)
         // The most needed first: requests are few.
@@ -95,12 +97,13 @@
 
     private fun watchClasses() {
         val wanted = HashMap<String, Int>()
+        val teams = scheduling.teamRoom()
         for (job in replica.jobs) {
             if (job.stage != StoredStage.OPEN) continue
             val seen = classes.getOrPut(job.spec.jobClass) { Seen(job.spec) }
             seen.spec = job.spec
             seen.largest = maxOf(seen.largest, minOf(job.spec.tasks, LARGEST))
-            wanted.merge(job.spec.jobClass, job.waiting + job.placed, Int::plus)
+            wanted.merge(job.spec.jobClass, usable(job, teams) + job.placed, Int::plus)
         }
         for ((name, seen) in classes) {
             seen.history.addLast(kernel.now to (wanted[name] ?: 0))
@@ -112,6 +115,12 @@
         }
     }
 
+    /** Tasks of [job] that machines would help: neither held back by its team's limit nor failing wherever they run. */
+    private fun usable(
+        job: Job,
+        teams: TeamRoom,
+    ): Int = minOf(scheduling.startable(job), teams.tasks(job.spec)).also { teams.take(job.spec, it) }
+
     private fun watchIdle() {
         for (id in replica.machines.keys) {
             if (replica.tasksOn(id).isEmpty()) idleSince.putIfAbsent(id, kernel.now) else idleSince.remove(id)
@@ -142,7 +151,7 @@
             capacity.booting.values.mapNotNull { machine ->
                 val type = replica.types[machine.offer.type] ?: return@mapNotNull null
                 // Some machines take several times as long to boot, or forever: nobody should wait for them.
-                if (kernel.now - machine.sinceUs > (type.bootS * LATE_BOOT * SECOND).toLong()) return@mapNotNull null
+                if (capacity.isLate(machine)) return@mapNotNull null
                 Room(
                     machine.id,
                     type.name,
@@ -176,12 +185,15 @@
     private fun waiting(rooms: List<Room>): List<Shopper.Want> {
         val spotCpus = rooms.filter { it.spot }.sumOf { it.total.cpus }
         var queued = 0.0
+        val teams = scheduling.teamRoom()
         return scheduling
             .order(replica.waitingJobs())
-            .map { job ->
-                queued += job.waiting * job.spec.cpus * job.spec.estimateS
+            .mapNotNull { job ->
+                val count = usable(job, teams)
+                if (count == 0) return@mapNotNull null
+                queued += count * job.spec.cpus * job.spec.estimateS
                 val patience = (expectation[job.spec.jobClass] ?: DEFAULT_EXPECTATION_S) * operators.queuePart
-                Shopper.Want(job.spec, job.waiting, scheduling.zonesOf(job), queued > patience * spotCpus)
+                Shopper.Want(job.spec, count, scheduling.zonesOf(job), queued > patience * spotCpus)
             }.let(::merged)
             .take(MAX_WANTS)
     }
@@ -249,10 +261,10 @@
         span: Micros,
     ): Boolean = kernel.now - (idleSince[known.id] ?: kernel.now) >= span
 
+    /** Each controller empties the faulty ones among its machines: only it sees what fails there. */
     private fun watchHealth() {
-        for (known in replica.machines.values) {
-            if (fleet.errorsOn(known.id) >= MAX_ERRORS) roster.retire(known.id, Retiring.DRAIN, "errors")
-        }
+        if (!standing.healthy()) return
+        observer.failures.faultyMachines().forEach { roster.retire(it, Retiring.DRAIN, "errors") }
     }
 
     companion object {
@@ -266,9 +278,7 @@
         private const val RETURN_PART = 4
         private const val EARLY = 3
         private const val KEPT = 4
-        private const val MAX_ERRORS = 3
         private const val DEFAULT_EXPECTATION_S = 60.0
-        private const val LATE_BOOT = 1.6
         private const val LARGEST = 16
     }
 }
--- a/src/main/kotlin/mintpick/wire/MeshApi.kt
+++ b/src/main/kotlin/mintpick/wire/MeshApi.kt
@@ -25,6 +25,8 @@
     @ProtoNumber(8) val cancelled: List<String> = emptyList(),
     /** Whether [cancelled] holds all that the sender ever confirmed, in earlier lives too: it has loaded the records. */
     @ProtoNumber(9) val cancelledIsComplete: Boolean = false,
+    /** Jobs that fail wherever the sender runs them. */
+    @ProtoNumber(10) val faultyJobs: List<String> = emptyList(),
 ) {
     fun imagesOn(machine: MachineHint): Set<String> = machine.images.mapNotNullTo(HashSet()) { imageNames.getOrNull(it) }
 }
--- /dev/null
+++ b/src/test/kotlin/mintpick/core/FailureTrackerTest.kt
@@ -0,0 +1,94 @@
+package mintpick.core
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class FailureTrackerTest {
+    private fun job(n: Int) = JobId("req-%06d".format(n))
+
+    private fun machine(n: Int) = MachineId("host-%06d".format(n))
+
+    @Test
+    fun `a job that fails on several machines is at fault and its machines are not`() {
+        val tracker = FailureTracker()
+        for (n in 1..3) for (m in 1..5) tracker.failed(machine(m), job(n), hasSucceeded = false, now = 0)
+        assertEquals((1..3).map(::job).toSet(), tracker.faultyJobs().toSet())
+        assertEquals(emptyList<MachineId>(), tracker.faultyMachines())
+        assertEquals(1, tracker.allowance(job(1), waiting = 50, placed = 0))
+        assertEquals(0, tracker.allowance(job(1), waiting = 50, placed = 1))
+    }
+
+    @Test
+    fun `a machine on which several jobs fail is at fault and the jobs are not`() {
+        val tracker = FailureTracker()
+        (1..2).forEach { tracker.failed(machine(1), job(it), hasSucceeded = false, now = 0) }
+        assertFalse(tracker.isFaulty(machine(1)))
+        tracker.failed(machine(1), job(3), hasSucceeded = false, now = 0)
+        assertEquals(listOf(machine(1)), tracker.faultyMachines())
+        assertEquals(emptyList<JobId>(), tracker.faultyJobs())
+    }
+
+    @Test
+    fun `a job that succeeds is not at fault, on however many machines it fails`() {
+        val tracker = FailureTracker()
+        (1..6).forEach { tracker.failed(machine(it), job(1), hasSucceeded = true, now = 0) }
+        assertFalse(tracker.isFaulty(job(1)))
+        (1..6).forEach { tracker.failed(machine(it), job(2), hasSucceeded = false, now = 0) }
+        tracker.succeeded(machine(9), job(2))
+        assertFalse(tracker.isFaulty(job(2)))
+        assertTrue(tracker.mayRetry(job(2), 0))
+    }
+
+    @Test
+    fun `tasks that fail together are one retry, and each retry waits twice as long up to a bound`() {
+        val tracker = FailureTracker()
+        var now: Micros = 1
+        var before: Micros = 0
+        repeat(12) {
+            repeat(40) { task -> tracker.failed(machine(task), job(1), hasSucceeded = false, now) }
+            var pause: Micros = 0
+            while (!tracker.mayRetry(job(1), now + pause)) pause += SECOND / 10
+            assertTrue(pause == minOf(30 * SECOND, before * 2) || before == 0L, "$pause after $before")
+            before = pause
+            now += pause
+        }
+        assertEquals(30 * SECOND, before)
+    }
+
+    /** Whatever mixture of faulty jobs and machines: blame falls on none that is sound, once all have been tried everywhere. */
+    @Test
+    fun `sound jobs and machines are not blamed`(): Unit =
+        runBlocking {
+            val distinct = Arb.list(Arb.int(0..19), 0..4)
+            checkAll(PropTestConfig(seed = 7, iterations = 200), distinct, distinct) { faultyJobs, faultyMachines ->
+                val tracker = FailureTracker()
+                for (m in 0..19) {
+                    for (n in 0..19) {
+                        val fails = n in faultyJobs || m in faultyMachines
+                        if (!fails) tracker.succeeded(machine(m), job(n)) else tracker.failed(machine(m), job(n), n !in faultyJobs, 0)
+                    }
+                }
+                assertEquals(faultyJobs.map(::job).toSet(), tracker.faultyJobs().toSet())
+                val blamed = tracker.faultyMachines().toSet()
+                assertEquals(faultyMachines.map(::machine).toSet(), blamed)
+            }
+        }
+
+    @Test
+    fun `what is over is forgotten`() {
+        val tracker = FailureTracker()
+        (1..3).forEach { tracker.failed(machine(it), job(1), hasSucceeded = false, now = 0) }
+        (2..4).forEach { tracker.failed(machine(9), job(it), hasSucceeded = false, now = 0) }
+        tracker.retain(isJobOpen = { false }, isMachineKnown = { false })
+        assertFalse(tracker.hasFailed(job(1)))
+        assertEquals(emptyList<MachineId>(), tracker.faultyMachines())
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/mintpick/engine/OwnerTest.kt
@@ -0,0 +1,54 @@
+package mintpick.engine
+
+import mintpick.Samples
+import mintpick.config.Operators
+import mintpick.core.JobId
+import mintpick.core.SECOND
+import mintpick.net.Answer
+import mintpick.net.Call
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.SplittableRandom
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+/** The owner's thread with a clock of the test's own: each reading of it is worth [jumpUs] once the test says so. */
+class OwnerTest {
+    private val clockUs = AtomicLong(SECOND)
+    private val jumpUs = AtomicLong(0)
+    private val calls = AtomicInteger()
+    private val answers = LinkedBlockingQueue<Answer>()
+    private val engine = Engine(Samples.settings(), Operators(), SplittableRandom(1))
+    private val owner =
+        Owner(engine, { _: Long, _: Call -> calls.incrementAndGet() }, { clockUs.getAndAdd(jumpUs.get()) }, { clockUs.get() })
+
+    private fun poll(): Answer {
+        val thread = Thread { runCatching { owner.run() } }
+        owner.put(Event.Poll(JobId("req-000001")) { answers.put(it) })
+        thread.start()
+        try {
+            return checkNotNull(answers.poll(10, TimeUnit.SECONDS)) { "no answer" }
+        } finally {
+            thread.interrupt()
+            thread.join()
+        }
+    }
+
+    @Test
+    fun `calls leave while the clock shows that the step is recent`() {
+        assertEquals(503, poll().status)
+        assertTrue(calls.get() > 0, "the records are asked for")
+    }
+
+    @Test
+    fun `nothing leaves a process that stood still since the step began, and who waits is told to come back`() {
+        jumpUs.set(5 * SECOND)
+        val answer = poll()
+        assertEquals(503, answer.status)
+        assertEquals(1, answer.retryAfterS)
+        assertEquals(0, calls.get())
+    }
+}
--- a/src/test/kotlin/mintpick/sim/LeadershipMeetingsTest.kt
+++ b/src/test/kotlin/mintpick/sim/LeadershipMeetingsTest.kt
@@ -292,7 +292,7 @@
                 var late = 0
                 world.linkDelay = { from, call ->
                     val during = 56 * SECOND..60_500 * MILLI
-                    val held = call.path == "/multi" && world.now in during && world.random.nextInt(3) == 0
+                    val held = call.path == "/multi" && world.now in during && world.random.nextInt(2) == 0
                     val process = from.name
                     val delay = if (held) 2 * SECOND + world.random.nextLong(8 * SECOND) else 0
                     if (held) world.after(delay) { if (from.name != process) late++ }
--- a/src/test/kotlin/mintpick/sim/SimWorker.kt
+++ b/src/test/kotlin/mintpick/sim/SimWorker.kt
@@ -25,6 +25,12 @@
     )
 
     fun runTimeUs(task: String): Micros?
+
+    /** Whether a run of [task] on [machine] ends with an error. */
+    fun fails(
+        machine: SimWorker,
+        task: String,
+    ): Boolean
 }
 
 /** Stand-in for one machine's worker: tokens, sessions, leases and tasks as PROTOCOL describes them. */
@@ -89,12 +95,14 @@
             if (task.state == TaskState.FETCHING && now >= task.untilUs) {
                 task.state = TaskState.RUNNING
                 task.untilUs = watcher.runTimeUs(name)?.let { now + it } ?: Long.MAX_VALUE
+                if (watcher.fails(this, name)) task.untilUs = now + FAILS_AFTER
                 if (name in results) task.untilUs = now
                 changed = true
                 watcher.started(this, name, now)
             } else if (task.state == TaskState.RUNNING && now >= task.untilUs) {
-                results += name
-                exit(name, task, ExitCause.DONE, now)
+                val fails = watcher.fails(this, name)
+                if (!fails) results += name
+                exit(name, task, if (fails) ExitCause.ERROR else ExitCause.DONE, now)
             }
         }
     }
@@ -193,5 +201,6 @@
 
     private companion object {
         const val FETCH: Micros = SECOND
+        const val FAILS_AFTER: Micros = SECOND
     }
 }
--- a/src/test/kotlin/mintpick/sim/World.kt
+++ b/src/test/kotlin/mintpick/sim/World.kt
@@ -65,6 +65,13 @@
             stepLoop(mine)
         }
 
+        /** Stands still, while its clocks go on and what comes for it is kept. */
+        fun standStill(spanUs: Micros) {
+            standsStillUntilUs = now + spanUs
+        }
+
+        private var standsStillUntilUs: Micros = 0
+
         fun crash(downUs: Micros) {
             engine = null
             after(downUs) { if (engine == null) start() }
@@ -72,7 +79,7 @@
 
         private fun stepLoop(mine: Int) {
             if (life != mine || engine == null) return
-            step()
+            if (now >= standsStillUntilUs) step()
             after(STEP) { stepLoop(mine) }
         }
 
@@ -113,6 +120,12 @@
     val workers = LinkedHashMap<String, SimWorker>()
     private val booting = LinkedHashMap<String, RentalRequest>()
     private val born = HashMap<String, Micros>()
+
+    /** Machines that come up late or never: by type, zone and whether spot, how many times their boot takes; null: never. */
+    var bootFactor: (RentalRequest) -> Int? = { 1 }
+
+    /** Machines rented, over all time. */
+    val rented: Int get() = machines
     private val hires = HashMap<String, List<String>>()
     private var machines = 0
     var cloudOut = false
@@ -132,6 +145,9 @@
     /** How much longer than usual a call is on its way. */
     var linkDelay: (Node, Call) -> Micros = { _, _ -> 0 }
 
+    /** Which runs end with an error: by machine and task. */
+    var failing: (SimWorker, String) -> Boolean = { _, _ -> false }
+
     /** Run times of tasks that differ from their job's estimate. */
     val runTimes = HashMap<String, Micros>()
 
@@ -341,7 +357,8 @@
                 val id = "host-%06d".format(++machines)
                 booting[id] = request
                 born[id] = now
-                after(size.boots.first + random.nextLong(size.boots.last - size.boots.first)) { boot(id) }
+                val usual = size.boots.first + random.nextLong(size.boots.last - size.boots.first)
+                bootFactor(request)?.let { after(usual * it) { boot(id) } }
                 id
             }
         }
@@ -523,6 +540,11 @@
         return if (spec.estimateS == 0.0) null else (spec.estimateS * SECOND).toLong()
     }
 
+    override fun fails(
+        machine: SimWorker,
+        task: String,
+    ): Boolean = failing(machine, task)
+
     companion object {
         const val NODES = 3
         private const val PAGE = 500
