--- a/src/test/kotlin/mintpick/sim/Records.kt
+++ b/src/test/kotlin/mintpick/sim/Records.kt
@@ -35,3 +35,7 @@
     if (now < (done[job.id] ?: 0)) rules.breaches += "went_back: ${job.id} has $now done instead of ${done[job.id]}"
     done[job.id] = now
 }
+
+/** Shards that [node] claims. */
+internal fun World.claimsOf(node: World.Node): Int =
+    state.keys().count { it.first.startsWith(Keys.shard(0).dropLast(1)) && node.settings.node in it.second }
