Spare-time work keeps to spot machines while something of it runs

Change: spare-time work is placed on ordinary machines, and asks for them, only if it may not use spot ones, or nothing of it runs and it has waited for two minutes. GuestsTest: without the way out after two minutes the second new test fails.

--- a/src/main/kotlin/mintpick/core/Placement.kt
+++ b/src/main/kotlin/mintpick/core/Placement.kt
@@ -111,13 +111,16 @@
         limit: Int,
         hurried: Boolean = false,
         avoided: Set<MachineId> = emptySet(),
+        spotOnly: Boolean = false,
     ): List<Pair<Int, MachineId>> {
         if (limit <= 0 || rooms.isMissed(spec)) return emptyList()
         val onlyZone = if (spec.oneZone) perZone.entries.firstOrNull { it.value > 0 }?.key ?: bestZone(spec, rooms) else null
         val zones = openZones(spec, rooms, perZone, onlyZone)
-        val found = candidates(spec, rooms, zones, limit, hurried).filter { (slot, _) -> slot.room.machine !in avoided }
+        val found =
+            candidates(spec, rooms, zones, limit, hurried)
+                .filter { (slot, _) -> slot.room.machine !in avoided && (slot.room.spot || !spotOnly) }
         if (found.isEmpty()) {
-            if (zones == rooms.zones && avoided.isEmpty()) rooms.miss(spec)
+            if (zones == rooms.zones && avoided.isEmpty() && !spotOnly) rooms.miss(spec)
             return emptyList()
         }
         val counts = HashMap(perZone)
--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -15,6 +15,7 @@
 import mintpick.core.demand
 import mintpick.core.isGang
 import mintpick.core.isProduction
+import mintpick.wire.Priority
 import mintpick.wire.Retiring
 import mintpick.wire.StoredStage
 
@@ -223,7 +224,7 @@
         val limit = minOf(pass.teams.tasks(job.spec), MAX_TASKS, startable(job))
         if (limit <= 0) return 0
         val avoided = observer.failures.triedOn(job.id)
-        val found = placer.place(job.spec, job.waitingTasks(), rooms, zonesOf(job), limit, pass.hurried, avoided)
+        val found = placer.place(job.spec, job.waitingTasks(), rooms, zonesOf(job), limit, pass.hurried, avoided, keepsToSpot(job))
         if (found.isEmpty()) return 0
         // Gangs start whole or not at all.
         if (job.spec.isGang && found.size < job.waiting) return 0
@@ -264,6 +265,15 @@
         return count
     }
 
+    /**
+     * Spare-time work leaves ordinary machines alone, which would never be empty and returned with it, unless nothing of it
+     * runs and it has waited for long: where there are no spot machines it is served all the same.
+     */
+    fun keepsToSpot(job: Job): Boolean {
+        if (!job.spec.spot || job.spec.priority != Priority.LOW) return false
+        return job.placed > 0 || kernel.wall - job.submittedUs < SPOT_PATIENCE
+    }
+
     /** How many of the waiting tasks of [job] may start now: of one that fails wherever it runs a single one, at its home. */
     fun startable(job: Job): Int =
         when {
@@ -383,6 +393,7 @@
         private const val HELP_LATE: Micros = 1_500 * MILLI
         private const val SEEK_AFTER: Micros = 600 * MILLI
         private const val LARGE_AFTER: Micros = 15 * SECOND
+        private const val SPOT_PATIENCE: Micros = 120 * SECOND
         private const val MOST_HANDICAP: Micros = 30 * SECOND
     }
 }
--- a/src/main/kotlin/mintpick/engine/Supply.kt
+++ b/src/main/kotlin/mintpick/engine/Supply.kt
@@ -193,7 +193,8 @@
                 if (count == 0) return@mapNotNull null
                 queued += count * job.spec.cpus * job.spec.estimateS
                 val patience = (expectation[job.spec.jobClass] ?: DEFAULT_EXPECTATION_S) * operators.queuePart
-                Shopper.Want(job.spec, count, scheduling.zonesOf(job), queued > patience * spotCpus)
+                val isSpare = scheduling.keepsToSpot(job)
+                Shopper.Want(job.spec, count, scheduling.zonesOf(job), !isSpare && queued > patience * spotCpus, isSpare)
             }.let(::merged)
             .take(MAX_WANTS)
     }
@@ -209,7 +210,7 @@
                 ) {
                     spec.id
                 } else {
-                    listOf(spec.jobClass, spec.demand, spec.types, spec.zone, spec.spot, spec.spread, want.ordinary)
+                    listOf(spec.jobClass, spec.demand, spec.types, spec.zone, spec.spot, spec.spread, want.ordinary, want.spare)
                 }
             }.values
             .map { same ->
--- a/src/test/kotlin/mintpick/sim/GuestsTest.kt
+++ b/src/test/kotlin/mintpick/sim/GuestsTest.kt
@@ -66,4 +66,31 @@
         assertTrue(world.rules.isFinal("req-000001"), "the array has not ended")
         world.assertRulesHeld()
     }
+
+    /** `Scheduling.keepsToSpot`: spare-time work filled the ordinary machines of a peak, so that none of them was ever returned. */
+    @Test
+    fun `spare-time work keeps no ordinary machines`() {
+        val world = World(98, Luck(), Size(machines = 60, spot = 6)) { Samples.settings(it) }
+        (1..4).forEach { n -> world.user(guest(n, tasks = 800, estimateS = 40.0), null) }
+        (1..10).forEach { n -> world.user(Samples.spec("req-%06d".format(7000 + n), "blue", 20, cpus = 2.0, estimateS = 15.0), null) }
+        world.run(25 * SECOND)
+        assertTrue(world.workers.values.count { !it.spot } > 5, "ordinary machines for the peak")
+        world.run(100 * SECOND)
+        assertEquals(0, world.workers.values.count { !it.spot }, "ordinary machines left")
+        assertTrue(
+            world.rules.running.keys
+                .any { it < "req-007000" },
+            "spare-time work goes on",
+        )
+        world.assertRulesHeld()
+    }
+
+    @Test
+    fun `where there are no spot machines spare-time work is served all the same`() {
+        val world = World(99, Luck(), Size(machines = 20, spot = 0)) { Samples.settings(it) }
+        (1..3).forEach { n -> world.user(guest(n, tasks = 30, estimateS = 10.0), null) }
+        world.run(240 * SECOND)
+        assertEquals(emptyList<Int>(), (1..3).filter { !world.rules.isFinal("req-%06d".format(it)) }, "spare-time work waits")
+        world.assertRulesHeld()
+    }
 }
