What was taken for faulty goes on at its home; slow steps are told from standstills later

Cause, by reading: a controller that had found a job faulty and was not its home told the home so, which then left it alone as well: a sound job that failed on three faulty machines there would never have been tried again. Now the home goes on trying one task at a time, a completed task ends the suspicion everywhere, and services are judged by each controller for itself. A step counts as a standstill after 2 s instead of 1 s: the lease still holds then (2.5 s since it was served, of 5 s). Tests: a job that fails everywhere for a while runs once it no longer fails. The stand-in for the cloud is a class of its own.

--- a/src/main/kotlin/mintpick/core/FailureTracker.kt
+++ b/src/main/kotlin/mintpick/core/FailureTracker.kt
@@ -88,13 +88,6 @@
     /** Where a retry of [job] would tell nothing new. */
     fun triedOn(job: JobId): Set<MachineId> = jobs[job]?.machines.orEmpty()
 
-    /** How many tasks of a job with [waiting] and [placed] ones may be started now. */
-    fun allowance(
-        job: JobId,
-        waiting: Int,
-        placed: Int,
-    ): Int = if (isFaulty(job)) minOf(waiting, maxOf(0, FAULTY_TASKS - placed)) else waiting
-
     /** Drops what is known of jobs and machines that are gone. */
     fun retain(
         isJobOpen: (JobId) -> Boolean,
@@ -115,6 +108,12 @@
         private const val MOST_BACKOFF: Micros = 30 * SECOND
         private const val MAX_DOUBLINGS = 6
 
+        /** How many tasks of a faulty job with [waiting] and [placed] ones may be started now. */
+        fun probes(
+            waiting: Int,
+            placed: Int,
+        ): Int = minOf(waiting, maxOf(0, FAULTY_TASKS - placed))
+
         /** The pause before the [retry]th retry, in microseconds. */
         fun backoff(retry: Int): Micros = minOf(MOST_BACKOFF, FIRST_BACKOFF shl minOf(retry - 1, MAX_DOUBLINGS))
     }
--- a/src/main/kotlin/mintpick/engine/Owner.kt
+++ b/src/main/kotlin/mintpick/engine/Owner.kt
@@ -81,7 +81,10 @@
         private const val UNAVAILABLE = 503
         private const val RETRY_S = 1
 
-        /** Well below what a lease leaves after its last renewal, and above what a step takes when the processor is short. */
-        private const val STALE: Micros = 1_000 * MILLI
+        /**
+         * A step acts only if the state service has served us within 2.5 s: with this the lease of 5 s still holds. Far above
+         * what a step takes when the processor is short.
+         */
+        private const val STALE: Micros = 2_000 * MILLI
     }
 }
--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -1,6 +1,7 @@
 package mintpick.engine
 
 import mintpick.config.Operators
+import mintpick.core.FailureTracker
 import mintpick.core.Job
 import mintpick.core.JobId
 import mintpick.core.MILLI
@@ -15,6 +16,7 @@
 import mintpick.core.demand
 import mintpick.core.isGang
 import mintpick.core.isProduction
+import mintpick.core.isService
 import mintpick.wire.Priority
 import mintpick.wire.Retiring
 import mintpick.wire.StoredStage
@@ -157,7 +159,7 @@
                     short = true
                     // Another controller may have room, for which nobody has to be stopped.
                     val waitsLong = kernel.now - (still[job.id]?.sinceUs ?: kernel.now) >= SEEK_AFTER
-                    if (waitsLong && !observer.failures.isFaulty(job.id)) preemptor.seek(job, rooms, zonesOf(job))
+                    if (waitsLong && !isFaulty(job)) preemptor.seek(job, rooms, zonesOf(job))
                 }
             }
         }
@@ -275,12 +277,20 @@
     }
 
     /** How many of the waiting tasks of [job] may start now: of one that fails wherever it runs a single one, at its home. */
-    fun startable(job: Job): Int =
-        when {
-            observer.failures.isFaulty(job.id) -> observer.failures.allowance(job.id, job.waiting, job.placed)
-            standing.isFaultyElsewhere(job.id) -> 0
-            else -> job.waiting
-        }
+    fun startable(job: Job): Int {
+        if (!isFaulty(job)) return job.waiting
+        val home = ownership.home(job.id)
+        return if (home == kernel.me || home == null) FailureTracker.probes(job.waiting, job.placed) else 0
+    }
+
+    /**
+     * Whether any controller has found that [job] fails wherever it runs, and none of its tasks has completed since. Services
+     * never complete: of them only the controller itself knows when they have recovered.
+     */
+    private fun isFaulty(job: Job): Boolean {
+        if (job.done > 0) return false
+        return observer.failures.isFaulty(job.id) || (!job.spec.isService && standing.isFaultyElsewhere(job.id))
+    }
 
     /** Whether there is room for a task of [job]. Gangs need more than that, and say nothing. */
     private fun couldPlace(
--- a/src/test/kotlin/mintpick/core/FailureTrackerTest.kt
+++ b/src/test/kotlin/mintpick/core/FailureTrackerTest.kt
@@ -22,8 +22,8 @@
         for (n in 1..3) for (m in 1..5) tracker.failed(machine(m), job(n), hasSucceeded = false, now = 0)
         assertEquals((1..3).map(::job).toSet(), tracker.faultyJobs().toSet())
         assertEquals(emptyList<MachineId>(), tracker.faultyMachines())
-        assertEquals(1, tracker.allowance(job(1), waiting = 50, placed = 0))
-        assertEquals(0, tracker.allowance(job(1), waiting = 50, placed = 1))
+        assertEquals(1, FailureTracker.probes(waiting = 50, placed = 0))
+        assertEquals(0, FailureTracker.probes(waiting = 50, placed = 1))
     }
 
     @Test
--- a/src/test/kotlin/mintpick/sim/AddedRulesTest.kt
+++ b/src/test/kotlin/mintpick/sim/AddedRulesTest.kt
@@ -64,7 +64,7 @@
         world.run(60 * SECOND)
         val deaf = world.busiest()
         deaf.deaf = true
-        world.cloudOut = true
+        world.cloud.out = true
         world.run(66 * SECOND)
         (5..12).forEach { n -> world.user(service(n, tasks = 1), null) }
         world.run(76 * SECOND)
--- a/src/test/kotlin/mintpick/sim/BootTroubleTest.kt
+++ b/src/test/kotlin/mintpick/sim/BootTroubleTest.kt
@@ -20,16 +20,16 @@
     @Test
     fun `a fleet that boots late is not rented several times over`() {
         val usual = world(75).apply { run(120 * SECOND) }
-        val late = world(75).apply { bootFactor = { 4 } }
+        val late = world(75).apply { cloud.bootFactor = { 4 } }
         late.run(120 * SECOND)
         assertTrue(late.done() == 24, "${late.done()} jobs done")
-        assertTrue(late.rented < usual.rented * 2, "${late.rented} machines rented instead of ${usual.rented}")
+        assertTrue(late.cloud.rented < usual.cloud.rented * 2, "${late.cloud.rented} machines rented instead of ${usual.cloud.rented}")
         late.assertRulesHeld()
     }
 
     @Test
     fun `where a zone's machines never come up, the other zone's do the work`() {
-        val world = world(76).apply { bootFactor = { if (it.zone == "north") null else 1 } }
+        val world = world(76).apply { cloud.bootFactor = { if (it.zone == "north") null else 1 } }
         world.run(150 * SECOND)
         assertTrue(world.done() == 24, "${world.done()} jobs done")
         world.assertRulesHeld()
--- a/src/test/kotlin/mintpick/sim/CancellationBoundTest.kt
+++ b/src/test/kotlin/mintpick/sim/CancellationBoundTest.kt
@@ -110,7 +110,7 @@
                 world.after(27 * SECOND) { world.state.out = true }
                 world.after(26 * SECOND) { leader.cutFromState = true }
             },
-            "the cloud is down as well" to { world.cloudOut = true },
+            "the cloud is down as well" to { world.cloud.out = true },
         )
 
     @TestFactory
--- a/src/test/kotlin/mintpick/sim/FaultyJobsTest.kt
+++ b/src/test/kotlin/mintpick/sim/FaultyJobsTest.kt
@@ -42,7 +42,10 @@
         val without = world(seed = 71, brokenFromUs = 1000 * SECOND, cancelAfterUs = null)
         val world = world(seed = 71, brokenFromUs = 30 * SECOND, cancelAfterUs = null)
         listOf(without, world).forEach { it.run(140 * SECOND) }
-        assertTrue(world.rented <= without.rented + 6, "${world.rented} machines rented instead of ${without.rented}")
+        assertTrue(
+            world.cloud.rented <= without.cloud.rented + 6,
+            "${world.cloud.rented} machines rented instead of ${without.cloud.rented}",
+        )
         assertEquals(emptyList<String>(), (1..30).map { sound(it).id }.filter { !world.rules.isComplete(it) }, "sound jobs are done")
         assertTrue(brokenIds.all { world.rules.isAccepted(it) && !world.rules.isFinal(it) }, "the others stay known")
         world.assertRulesHeld()
@@ -67,18 +70,42 @@
         val world = world(seed = 73, brokenFromUs = 30 * SECOND, cancelAfterUs = null)
         world.run(35 * SECOND)
         val faulty = world.workers.values.maxBy { world.rules.attemptsOn(it.id).size }
-        val before = world.rented
+        val before = world.cloud.rented
         val jobs = world.failing
         world.failing = { machine, task -> machine === faulty || jobs(machine, task) }
         (201..230).forEach { n -> world.user(Samples.spec("req-%06d".format(n), "blue", 1, cpus = 1.0, estimateS = 60.0), null) }
         world.run(80 * SECOND)
         assertFalse(faulty.id in world.workers, "the faulty machine is returned")
-        assertTrue(world.rented - before < 6, "${world.rented - before} machines rented anew")
+        assertTrue(world.cloud.rented - before < 6, "${world.cloud.rented - before} machines rented anew")
         world.run(200 * SECOND)
         assertEquals(emptyList<String>(), (1..30).map { sound(it).id }.filter { !world.rules.isComplete(it) }, "sound jobs are done")
         world.assertRulesHeld()
     }
 
+    /**
+     * A job that was taken for faulty goes on once it no longer fails, whichever controller had found it faulty: those that
+     * are not its home leave it to its home, which goes on trying.
+     */
+    @Test
+    fun `what has failed everywhere for a while runs once it no longer fails`() {
+        val world = World(76, Luck(), Size(machines = 30)) { Samples.settings(it) }
+        world.failing = { _, task -> task < "req-000100" && world.now < 80 * SECOND }
+        (1..8).forEach { n ->
+            world.after(n * SECOND) { world.user(Samples.spec("req-%06d".format(n), "blue", 40, cpus = 2.0, estimateS = 8.0), null) }
+            world.after(n * SECOND) { world.user(Samples.service(n + 20, team = "blue"), null) }
+        }
+        (1..20).forEach { n ->
+            world.after(n * 5 * SECOND) { world.user(Samples.spec("req-%06d".format(200 + n), "blue", 20, estimateS = 8.0), null) }
+        }
+        world.run(240 * SECOND)
+        assertEquals(emptyList<Int>(), (1..8).filter { !world.rules.isComplete("req-%06d".format(it)) }, "not done")
+        val replicas =
+            world.rules.running.keys
+                .count { it in "req-000021".."req-000029" }
+        assertEquals(16, replicas, "replicas that run")
+        world.assertRulesHeld()
+    }
+
     /** What fails everywhere keeps no machines: others would be idle, too, until its users cancel it. */
     @Test
     fun `no machines are kept for jobs with a mistake, whichever controller knows of it`() {
@@ -100,7 +127,7 @@
         val world = World(75, Luck(), Size(machines = 200)) { Samples.settings(it) }
         (1..10).forEach { n -> world.user(Samples.spec("req-%06d".format(n), "red", tasks = 60, estimateS = 30.0), null) }
         world.run(60 * SECOND)
-        assertTrue(world.rented < 12, "${world.rented} machines rented for 24 processors")
+        assertTrue(world.cloud.rented < 12, "${world.cloud.rented} machines rented for 24 processors")
         world.assertRulesHeld()
     }
 }
--- a/src/test/kotlin/mintpick/sim/GuardsTest.kt
+++ b/src/test/kotlin/mintpick/sim/GuardsTest.kt
@@ -90,7 +90,7 @@
     fun `new work goes elsewhere once a call to a machine has failed`() {
         var sent = 0
         forEachMachine(61L..68L) { world, deaf ->
-            world.cloudOut = true
+            world.cloud.out = true
             deaf.deaf = true
             // A call that fails has failed after a second and a half.
             world.run(62_500 * MILLI)
@@ -130,7 +130,7 @@
         world.replayEverywhere(copy)
         silent.hangingUntilUs = 1000 * SECOND
         // Nobody can return it, so that only its lease proves anything.
-        world.cloudOut = true
+        world.cloud.out = true
         (1..20).forEach { n -> world.after(n * 2 * SECOND) { world.replayEverywhere(copy) } }
         world.run(92 * SECOND)
         assertTrue(held.all { task -> world.workers.values.any { it !== silent && task in world.rules.attemptsOn(it.id) } }, "moved")
@@ -194,7 +194,7 @@
         val silent = world.busiest()
         val copies = List(15) { silent.report(world.now) }
         silent.hangingUntilUs = 1000 * SECOND
-        world.cloudOut = true
+        world.cloud.out = true
         world.run(70 * SECOND)
         val before = world.claimsFor(silent)
         copies.forEachIndexed { i, copy -> world.after(i * 2 * SECOND) { world.replay(copy, world.nodes[i / 5]) } }
@@ -215,13 +215,17 @@
         world.after(2 * SECOND) { world.user(batch(2, tasks = 60), null) }
         world.run(50 * SECOND)
         assertTrue(
-            world.rentalNames.values
+            world.cloud.requestNames.values
                 .flatten()
                 .distinct()
                 .size > 1,
-            "rented in two lives: ${world.rentalNames}",
+            "rented in two lives: ${world.cloud.requestNames}",
+        )
+        assertTrue(
+            world.cloud.requestNames.values
+                .all { it.size == 1 },
+            "${world.cloud.requestNames}",
         )
-        assertTrue(world.rentalNames.values.all { it.size == 1 }, "${world.rentalNames}")
     }
 
     /** The raised token after a lost start: without it nothing is ever proven of that attempt, and its job never ends. */
--- a/src/test/kotlin/mintpick/sim/LeadershipMeetingsTest.kt
+++ b/src/test/kotlin/mintpick/sim/LeadershipMeetingsTest.kt
@@ -213,7 +213,7 @@
                 }
                 world.run(59 * SECOND)
                 assertEquals(listOf(24.0, BLUE), teams.map { world.usedBy(it) }, "both teams are at their limit")
-                if (seed % 2 == 0L) world.cloudOut = true
+                if (seed % 2 == 0L) world.cloud.out = true
                 if (seed % 3 == 0L) world.zonesCut = true
                 world.workers.values.forEach { if (world.random.nextInt(3) > 0) it.hangingUntilUs = 105 * SECOND }
                 val before = world.leadership()
@@ -224,7 +224,7 @@
                 assertTrue(silent.isNotEmpty(), "cancelled tasks still run where nobody can ask")
                 world.run(105 * SECOND)
                 world.zonesCut = false
-                world.cloudOut = false
+                world.cloud.out = false
                 assertNotEquals(before, world.leadership())
                 world.calm()
                 assertEquals(listOf(24.0, BLUE), teams.map { world.usedBy(it) }, "both are at their limit again")
--- a/src/test/kotlin/mintpick/sim/ModelTest.kt
+++ b/src/test/kotlin/mintpick/sim/ModelTest.kt
@@ -174,13 +174,13 @@
                     }
                 }
                 world.run(60 * SECOND)
-                if (seed % 2 == 0L) world.cloudOut = true
+                if (seed % 2 == 0L) world.cloud.out = true
                 // Of the two controllers in the north each hears the other, and neither hears who is served.
                 world.zoneOut = if (seed < 36) "south" else "north"
                 if (seed % 3 == 0L) world.nodes[2].crash(5 * SECOND)
                 if (seed % 4 == 0L) world.after(5 * SECOND) { world.nodes[1].crash(SECOND / 3) }
                 world.after(30 * SECOND + world.random.nextLong(70 * SECOND)) { world.zoneOut = null }
-                world.after(60 * SECOND) { world.cloudOut = false }
+                world.after(60 * SECOND) { world.cloud.out = false }
                 world.run(260 * SECOND)
                 world.assertRulesHeld()
             }
--- a/src/test/kotlin/mintpick/sim/ReportMeetingsTest.kt
+++ b/src/test/kotlin/mintpick/sim/ReportMeetingsTest.kt
@@ -188,7 +188,7 @@
         val machine = busiest()
         machine.hangingUntilUs = now + 12 * SECOND
         // Nobody can return it, so that only reports prove anything.
-        cloudOut = true
+        cloud.out = true
         replay(machine.report(now).copy(noticeS = 60.0), owner(machine))
         runFor(1)
         val tables = state.keys().filter { it.first.startsWith(Keys.fleet(0).dropLast(1)) }
@@ -255,13 +255,13 @@
                 assertTrue(out.any { world.rules.attemptsOn(it.id).isNotEmpty() })
                 out.forEach { if (deaf) it.deaf = true else it.hangingUntilUs = world.now + span * SECOND }
                 // Nobody can return them, so that only their leases prove anything.
-                world.cloudOut = true
+                world.cloud.out = true
                 val before = world.leader()
                 val claim = world.claim(Keys.LEADER)
                 world.after(SECOND) { before.crash(SECOND / 2) }
                 world.runFor(span)
                 out.forEach { it.deaf = false }
-                world.cloudOut = false
+                world.cloud.out = false
                 assertTrue(world.claim(Keys.LEADER) != claim, "another leads")
                 world.runFor(100)
                 val running = world.workers.keys.sumOf { world.rules.attemptsOn(it).size }
--- a/src/test/kotlin/mintpick/sim/RequeueDoubtTest.kt
+++ b/src/test/kotlin/mintpick/sim/RequeueDoubtTest.kt
@@ -38,7 +38,7 @@
                 world.after(n * SECOND / 4) { world.user(spec, null) }
             }
             world.run(60 * SECOND)
-            world.cloudOut = true
+            world.cloud.out = true
             alone.cutFromPeers = true
             hung =
                 world.workers.values
--- a/src/test/kotlin/mintpick/sim/Troubles.kt
+++ b/src/test/kotlin/mintpick/sim/Troubles.kt
@@ -87,8 +87,8 @@
             after(span) { stateTroubles.slow = 0 }
         },
         Trouble("cloud out") { span ->
-            cloudOut = true
-            after(span) { cloudOut = false }
+            cloud.out = true
+            after(span) { cloud.out = false }
         },
     )
 
--- a/src/test/kotlin/mintpick/sim/World.kt
+++ b/src/test/kotlin/mintpick/sim/World.kt
@@ -15,16 +15,11 @@
 import mintpick.net.Target
 import mintpick.wire.CommandBatch
 import mintpick.wire.JobSpec
-import mintpick.wire.ListedMachine
-import mintpick.wire.MachineListPage
-import mintpick.wire.MachineNames
 import mintpick.wire.MachineReport
-import mintpick.wire.MachineTypes
 import mintpick.wire.MeshProtobuf
 import mintpick.wire.Misdirected
 import mintpick.wire.PeerHint
 import mintpick.wire.RentalRequest
-import mintpick.wire.RentalStage
 import mintpick.wire.ReportAnswer
 import mintpick.wire.WireJson
 import java.util.PriorityQueue
@@ -118,17 +113,8 @@
     internal val userTroubles by lazy { UserTroubles(this) }
     val nodes = (0 until NODES).map { Node(it) }
     val workers = LinkedHashMap<String, SimWorker>()
-    private val booting = LinkedHashMap<String, RentalRequest>()
-    private val born = HashMap<String, Micros>()
 
-    /** Machines that come up late or never: by type, zone and whether spot, how many times their boot takes; null: never. */
-    var bootFactor: (RentalRequest) -> Int? = { 1 }
-
-    /** Machines rented, over all time. */
-    val rented: Int get() = machines
-    private val hires = HashMap<String, List<String>>()
-    private var machines = 0
-    var cloudOut = false
+    val cloud by lazy { SimCloud(this, size, nodes[0].settings.listLagUs) }
 
     /** The two zones can't reach each other. */
     var zonesCut = false
@@ -154,9 +140,6 @@
     /** Calls by the address of the machine that they were for. */
     val callsTo = HashMap<String, Int>()
 
-    /** Names of rental requests, each with the lives of controllers that used it. */
-    val rentalNames = HashMap<String, MutableSet<String>>()
-    private val lists = ArrayDeque<Pair<Micros, List<ListedMachine>>>()
     val rules =
         Rules(
             nodes[0].settings.cancelUs,
@@ -194,8 +177,7 @@
         workers.values.toList().forEach { it.tick(now) }
         rules.tick(now)
         if (now % SECOND < TICK) {
-            lists.addLast(now to listing())
-            while (lists.size > size.listed) lists.removeFirst()
+            cloud.noteList()
         }
         after(TICK) { worldLoop() }
     }
@@ -209,10 +191,7 @@
         call: Call,
         done: (Outcome) -> Unit,
     ) {
-        if (call.target is Target.Cloud && call.path == "/rentals") {
-            val request = WireJson.decodeFromString(RentalRequest.serializer(), requireNotNull(call.body).decodeToString())
-            rentalNames.getOrPut(request.request) { HashSet() } += from.name
-        }
+        if (call.target is Target.Cloud) cloud.noteName(call, from.name)
         var open = true
         val end: (Outcome) -> Unit = { outcome ->
             if (open) {
@@ -269,7 +248,7 @@
                     call.path,
                     body.decodeToString(),
                 ) { reply(it.status, it.body.encodeToByteArray()) }
-            is Target.Cloud -> cloud(call, body.decodeToString(), reply)
+            is Target.Cloud -> cloud.request(call, body.decodeToString(), reply)
             is Target.Peer -> {
                 val peer = nodes.first { it.settings.mesh.toString() == target.address }
                 val hint = MeshProtobuf.decodeFromByteArray(PeerHint.serializer(), body)
@@ -311,98 +290,24 @@
         reply(status, WireJson.encodeToString(MachineReport.serializer(), report).encodeToByteArray())
     }
 
-    private fun cloud(
-        call: Call,
-        body: String,
-        reply: (Int, ByteArray) -> Unit,
+    /** A rented machine comes up; its worker reports to any controller first. */
+    fun boot(
+        id: String,
+        request: RentalRequest,
     ) {
-        if (cloudOut) return reply(503, """{"error":"trouble"}""".encodeToByteArray())
-        val route = call.path.substringBefore('?')
-        val text =
-            when {
-                route == "/machine_types" -> WireJson.encodeToString(MachineTypes.serializer(), MachineTypes(MACHINE_TYPES))
-                route == "/rentals/release" -> {
-                    WireJson.decodeFromString(MachineNames.serializer(), body).machines.forEach(::remove)
-                    "{}"
-                }
-                call.method == "POST" -> WireJson.encodeToString(MachineNames.serializer(), MachineNames(rent(body)))
-                else -> {
-                    val lag = nodes[0].settings.listLagUs * (1 + random.nextInt(2))
-                    val after = call.path.substringAfter("since=", "").substringBefore('&')
-                    val list =
-                        lists
-                            .lastOrNull { it.first <= now - lag }
-                            ?.second
-                            .orEmpty()
-                            .filter { it.id > after }
-                    WireJson.encodeToString(MachineListPage.serializer(), MachineListPage(list.take(PAGE), list.size > PAGE))
-                }
-            }
-        reply(200, text.encodeToByteArray())
-    }
-
-    private fun rent(body: String): List<String> {
-        val request = WireJson.decodeFromString(RentalRequest.serializer(), body)
-        return hires.getOrPut(request.request) {
-            val spotLeft =
-                if (request.spot) {
-                    size.spot -
-                        workers.values.count {
-                            it.spot
-                        } - booting.values.count { it.spot }
-                } else {
-                    Int.MAX_VALUE
-                }
-            List(minOf(request.count, size.machines - workers.size - booting.size, spotLeft).coerceAtLeast(0)) {
-                val id = "host-%06d".format(++machines)
-                booting[id] = request
-                born[id] = now
-                val usual = size.boots.first + random.nextLong(size.boots.last - size.boots.first)
-                bootFactor(request)?.let { after(usual * it) { boot(id) } }
-                id
-            }
-        }
-    }
-
-    private fun boot(id: String) {
-        val request = booting.remove(id) ?: return
-        val worker =
-            SimWorker(
-                id,
-                "10.1.${id.takeLast(4).toInt() / 250}.${id.takeLast(4).toInt() % 250}:9000",
-                request.type,
-                request.zone,
-                request.spot,
-                nodes[0].settings.leaseUs,
-                this,
-                now,
-            )
+        val number = id.takeLast(4).toInt()
+        val address = "10.1.${number / 250}.${number % 250}:9000"
+        val worker = SimWorker(id, address, request.type, request.zone, request.spot, nodes[0].settings.leaseUs, this, now)
         workers[id] = worker
         reportLoop(worker, random.nextInt(NODES), 0)
     }
 
+    /** The machine is gone with everything on it. */
     fun remove(id: String) {
-        booting.remove(id)
+        cloud.remove(id)
         workers.remove(id)?.kill(now)
     }
 
-    private fun listing(): List<ListedMachine> {
-        val all =
-            booting.mapValues { (_, r) -> Triple(r.type, r.zone, r.spot) to RentalStage.BOOTING } +
-                workers.mapValues { (_, w) -> Triple(w.type, w.zone, w.spot) to RentalStage.RUNNING }
-        return all.toSortedMap().map { (id, kind) ->
-            ListedMachine(
-                id,
-                null,
-                kind.first.first,
-                kind.first.second,
-                kind.first.third,
-                kind.second,
-                (now - born.getValue(id)).toDouble() / SECOND,
-            )
-        }
-    }
-
     private fun reportLoop(
         worker: SimWorker,
         target: Int,
@@ -547,7 +452,6 @@
 
     companion object {
         const val NODES = 3
-        private const val PAGE = 500
         private const val STEP: Micros = 20 * MILLI
         private const val TICK: Micros = 100 * MILLI
         private const val WALL: Micros = 1_700_000_000 * SECOND
