Short spare-time tasks may use ordinary machines

Tasks of up to 20 s keep no machine, so they may use them. GuestsTest: 4 tests, 0 failed; without the way out after two minutes one fails.

--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -268,11 +268,11 @@
     }
 
     /**
-     * Spare-time work leaves ordinary machines alone, which would never be empty and returned with it, unless nothing of it
-     * runs and it has waited for long: where there are no spot machines it is served all the same.
+     * Spare-time work leaves ordinary machines alone, which would never be empty and returned with it, unless its tasks are
+     * short, or nothing of it runs and it has waited for long: where there are no spot machines it is served all the same.
      */
     fun keepsToSpot(job: Job): Boolean {
-        if (!job.spec.spot || job.spec.priority != Priority.LOW) return false
+        if (!job.spec.spot || job.spec.priority != Priority.LOW || job.spec.estimateS <= SHORT_S) return false
         return job.placed > 0 || kernel.wall - job.submittedUs < SPOT_PATIENCE
     }
 
@@ -403,6 +403,9 @@
         private const val HELP_LATE: Micros = 1_500 * MILLI
         private const val SEEK_AFTER: Micros = 600 * MILLI
         private const val LARGE_AFTER: Micros = 15 * SECOND
+
+        /** Tasks that are over before their machine would be returned as idle. */
+        private const val SHORT_S = 20.0
         private const val SPOT_PATIENCE: Micros = 120 * SECOND
         private const val MOST_HANDICAP: Micros = 30 * SECOND
     }
--- a/src/test/kotlin/mintpick/sim/GuestsTest.kt
+++ b/src/test/kotlin/mintpick/sim/GuestsTest.kt
@@ -88,7 +88,7 @@
     @Test
     fun `where there are no spot machines spare-time work is served all the same`() {
         val world = World(99, Luck(), Size(machines = 20, spot = 0)) { Samples.settings(it) }
-        (1..3).forEach { n -> world.user(guest(n, tasks = 30, estimateS = 10.0), null) }
+        (1..3).forEach { n -> world.user(guest(n, tasks = 30, estimateS = 40.0), null) }
         world.run(240 * SECOND)
         assertEquals(emptyList<Int>(), (1..3).filter { !world.rules.isFinal("req-%06d".format(it)) }, "spare-time work waits")
         world.assertRulesHeld()
