Rentals: the queue counts what team limits hold back; only machines do not

Ruled out by the two logs: boot times (no kind was troubled), refusals by the cloud (fewer than before). Change: the time that waiting work takes on the machines counts all of it again; the number of machines is limited as before.

--- a/src/main/kotlin/mintpick/engine/Supply.kt
+++ b/src/main/kotlin/mintpick/engine/Supply.kt
@@ -189,9 +189,10 @@
         return scheduling
             .order(replica.waitingJobs())
             .mapNotNull { job ->
+                // What its team's limit holds back now takes its time on the machines all the same.
+                queued += scheduling.startable(job) * job.spec.cpus * job.spec.estimateS
                 val count = usable(job, teams)
                 if (count == 0) return@mapNotNull null
-                queued += count * job.spec.cpus * job.spec.estimateS
                 val patience = (expectation[job.spec.jobClass] ?: DEFAULT_EXPECTATION_S) * operators.queuePart
                 val isSpare = scheduling.keepsToSpot(job)
                 Shopper.Want(job.spec, count, scheduling.zonesOf(job), !isSpare && queued > patience * spotCpus, isSpare)
