Scheduling: what may start of a job is worked out once a pass

startable(job) was asked up to four times for each waiting job of each pass; couldPlace asked it again although only jobs of which something may start get there. Same behaviour.

--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -140,7 +140,9 @@
         val left = ArrayList<Job>()
         var short = false
         for (job in order(waiting.values)) {
-            if (!observer.mayPlace(job.id) || startable(job) == 0) continue
+            if (!observer.mayPlace(job.id)) continue
+            val startable = startable(job)
+            if (startable == 0) continue
             if (still[job.id]?.version != job.version) still[job.id] = Still(job.version, kernel.now)
             val free = changes.isFree(job.id)
             val rooms = roomsFor(job, pass)
@@ -152,8 +154,8 @@
                 left += job
                 continue
             }
-            val placed = if (rooms == null || !free) 0 else place(job, rooms, pass, mayWrite)
-            if (placed < startable(job)) {
+            val placed = if (rooms == null || !free) 0 else place(job, startable, rooms, pass, mayWrite)
+            if (placed < startable) {
                 left += job
                 if (placed == 0 && rooms != null && free && mayWrite && teamMayPlace(job, pass)) {
                     short = true
@@ -218,12 +220,13 @@
 
     private fun place(
         job: Job,
+        startable: Int,
         rooms: Placer.Rooms,
         pass: Pass,
         mayWrite: Boolean,
     ): Int {
         if (!pass.changes.isTeamFree(job.spec.team)) return 0
-        val limit = minOf(pass.teams.tasks(job.spec), MAX_TASKS, startable(job))
+        val limit = minOf(pass.teams.tasks(job.spec), MAX_TASKS, startable)
         if (limit <= 0) return 0
         val avoided = observer.failures.triedOn(job.id)
         val found = placer.place(job.spec, job.waitingTasks(), rooms, zonesOf(job), limit, pass.hurried, avoided, keepsToSpot(job))
@@ -298,8 +301,7 @@
         rooms: Placer.Rooms,
         pass: Pass,
     ): Boolean {
-        if (job.spec.isGang || !pass.changes.isTeamFree(job.spec.team)) return false
-        if (startable(job) == 0 || pass.teams.tasks(job.spec) <= 0) return false
+        if (job.spec.isGang || !pass.changes.isTeamFree(job.spec.team) || pass.teams.tasks(job.spec) <= 0) return false
         val found = placer.place(job.spec, job.waitingTasks(), rooms, zonesOf(job), 1, pass.hurried)
         return found.any { (_, machine) -> rooms[machine]?.let { it.own && it.ready } == true }
     }
