--- /dev/null
+++ b/src/test/kotlin/mintpick/dependencies/DependencyGraphTest.kt
@@ -0,0 +1,104 @@
+package mintpick.dependencies
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import mintpick.core.JobId
+import mintpick.core.SECOND
+import mintpick.wire.Priority
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import java.util.SplittableRandom
+
+class DependencyGraphTest {
+    private fun id(n: Int) = JobId("req-%06d".format(n))
+
+    private val config = PropTestConfig(seed = 31, iterations = 200)
+
+    /** What [DependencyGraph] should say, worked out from scratch. */
+    private fun expected(
+        job: Int,
+        edges: Map<Int, Set<Int>>,
+        ends: Map<Int, PredecessorState>,
+        known: Set<Int>,
+    ): Readiness {
+        val needed = edges[job].orEmpty()
+        val isGone = { n: Int ->
+            ends[n] == PredecessorState.CANCELLED ||
+                (n in known && expected(n, edges, ends, known) == Readiness.WITHDRAWN)
+        }
+        return when {
+            needed.any(isGone) -> Readiness.WITHDRAWN
+            needed.all { ends[it] == PredecessorState.DONE } -> Readiness.RELEASED
+            else -> Readiness.WAITING
+        }
+    }
+
+    /**
+     * Jobs become known, end and are cancelled in any order, as pages of a load and a watch bring them; what follows is the
+     * same as if all had been looked at again.
+     */
+    @Test
+    fun `what follows for jobs does not depend on the order in which records become known`(): Unit =
+        runBlocking {
+            checkAll(config, Arb.int(2..24), Arb.long()) { count, seed ->
+                val random = SplittableRandom(seed)
+                val edges = (0 until count).associateWith { n -> (0 until n).filter { random.nextInt(4) == 0 }.toSet() }
+                val graph = DependencyGraph()
+                val known = HashSet<Int>()
+                val ends = HashMap<Int, PredecessorState>()
+                val stateOf = { job: JobId ->
+                    val n = job.text.takeLast(6).toInt()
+                    ends[n] ?: if (graph.readiness(job) == Readiness.WITHDRAWN) PredecessorState.CANCELLED else PredecessorState.PENDING
+                }
+                (0 until count).shuffled(java.util.Random(seed)).forEach { n ->
+                    if (random.nextInt(3) == 0) {
+                        // Over before it was seen waiting.
+                        val canEnd = edges.getValue(n).all { ends[it] == PredecessorState.DONE }
+                        ends[n] = if (canEnd && random.nextBoolean()) PredecessorState.DONE else PredecessorState.CANCELLED
+                        if (ends[n] == PredecessorState.DONE) graph.done(id(n)) else graph.cancelled(id(n))
+                    } else {
+                        known += n
+                        val readiness = graph.add(id(n), edges.getValue(n).map(::id), stateOf)
+                        if (readiness == Readiness.WITHDRAWN) graph.cancelled(id(n))
+                    }
+                    known.forEach { assertEquals(expected(it, edges, ends, known), graph.readiness(id(it)), "job $it") }
+                    assertEquals(known.count { expected(it, edges, ends, known) == Readiness.WAITING }, graph.waitingCount)
+                }
+                known.toList().forEach { graph.remove(id(it)) }
+                assertEquals(0, graph.waitingCount)
+            }
+        }
+
+    @Test
+    fun `one cancellation withdraws thousands in a row without a deep stack, and tells each once`() {
+        val graph = DependencyGraph()
+        val pending = { _: JobId -> PredecessorState.PENDING }
+        (1..20_000).forEach { graph.add(id(it), listOf(id(it - 1)), pending) }
+        assertEquals((1..20_000).map(::id), graph.cancelled(id(0)))
+        assertEquals(emptyList<JobId>(), graph.cancelled(id(0)))
+        val paths = CriticalPaths(graph) { JobDemand(Priority.LOW, if (it == id(20_000)) 30_000 * SECOND else null, SECOND) }
+        assertEquals(Urgency(Priority.LOW, 9_999 * SECOND), paths.urgency(id(0)))
+    }
+
+    @Test
+    fun `a job is as urgent as the most urgent that needs it, and starts in time for the longest way behind it`() {
+        val graph = DependencyGraph()
+        val pending = { _: JobId -> PredecessorState.PENDING }
+        graph.add(id(1), listOf(id(0)), pending)
+        graph.add(id(2), listOf(id(0)), pending)
+        graph.add(id(3), listOf(id(1), id(2)), pending)
+        val runs = mapOf(0 to 10L, 1 to 25L, 2 to 60L, 3 to 5L)
+        val paths =
+            CriticalPaths(graph) {
+                val n = it.text.takeLast(6).toInt()
+                JobDemand(if (n == 3) Priority.HIGH else Priority.LOW, if (n == 3) 200 * SECOND else null, runs.getValue(n) * SECOND)
+            }
+        assertEquals(Urgency(Priority.HIGH, 195 * SECOND), paths.urgency(id(3)))
+        assertEquals(Urgency(Priority.HIGH, 170 * SECOND), paths.urgency(id(1)))
+        assertEquals(Urgency(Priority.HIGH, 125 * SECOND), paths.urgency(id(0)))
+    }
+}
--- a/src/test/kotlin/mintpick/sim/SimState.kt
+++ b/src/test/kotlin/mintpick/sim/SimState.kt
@@ -16,6 +16,13 @@
 
 /** Stand-in for the state service: consistent, with leases, transactions and a watch, as PROTOCOL describes it. */
 class SimState {
+    /** What one transaction and one second may carry. */
+    data class StateLimits(
+        val valueBytes: Int,
+        val changes: Int,
+        val changesPerSecond: Double,
+    )
+
     private class Item(
         val value: JsonElement,
         val version: Long,
@@ -57,6 +64,16 @@
     /** Watches that asked for changes no longer kept. */
     var tooOld = 0
         private set
+
+    /** Limits of size and rate; null: none. */
+    var limits: StateLimits? = null
+
+    /** Requests refused for a limit, by what it was, and the largest value that was stored. */
+    val refused = HashMap<String, Int>()
+    var largestValue = 0
+        private set
+    private var changesLeft = 0.0
+    private var changesAt: Micros = 0
     val writesByKind = HashMap<String, Int>()
     private val items = TreeMap<String, Item>()
     private val log = ArrayList<StateEvent>()
@@ -65,6 +82,8 @@
     private val watches = ArrayList<Watch>()
 
     fun tick(now: Micros) {
+        limits?.let { changesLeft = minOf(it.changesPerSecond, changesLeft + (now - changesAt) * it.changesPerSecond / 1e6) }
+        changesAt = now
         if (out) {
             // Every lease has its full time again once the outage is over.
             leases.replaceAll { _, (ttl, _) -> ttl to now + ttl }
@@ -168,6 +187,7 @@
     }
 
     fun transact(transaction: Transaction): Http {
+        refusal(transaction)?.let { return it }
         writes += transaction.changes.size
         transaction.changes.forEach { writesByKind.merge((it.put ?: it.delete).orEmpty().split('/').getOrElse(1) { "" }, 1, Int::plus) }
         val failed = transaction.guards.filter { (items[it.key]?.version ?: 0) != it.version }.map { it.key }
@@ -183,10 +203,36 @@
         return Http(200, WireJson.encodeToString(TransactionAnswer.serializer(), TransactionAnswer(revision)))
     }
 
+    private fun refusal(transaction: Transaction): Http? {
+        val limits = limits ?: return null
+        val largest =
+            transaction.changes.maxOfOrNull {
+                it.value
+                    ?.toString()
+                    ?.encodeToByteArray()
+                    ?.size ?: 0
+            } ?: 0
+        val reason =
+            when {
+                largest > limits.valueBytes -> "value"
+                transaction.changes.size > limits.changes -> "changes"
+                transaction.guards.size > limits.changes * GUARDS_PER_CHANGE -> "guards"
+                changesLeft < transaction.changes.size -> "rate"
+                else -> null
+            }
+        if (reason == null) {
+            changesLeft -= transaction.changes.size
+            return null
+        }
+        refused.merge(reason, 1, Int::plus)
+        return Http(if (reason == "rate") 429 else 400, """{"error":"$reason"}""")
+    }
+
     private fun apply(change: Change) {
         val put = change.put
         val value = change.value
         if (put != null && value != null) {
+            largestValue = maxOf(largestValue, value.toString().length)
             items[put] = Item(value, revision, change.lease)
             log += StateEvent(put = put, value = value, version = revision)
         }
@@ -195,4 +241,8 @@
             log += StateEvent(delete = it, version = revision)
         }
     }
+
+    private companion object {
+        const val GUARDS_PER_CHANGE = 4
+    }
 }
--- a/src/test/kotlin/mintpick/sim/Users.kt
+++ b/src/test/kotlin/mintpick/sim/Users.kt
@@ -23,6 +23,11 @@
         spec: JobSpec,
         cancelAfterUs: Micros?,
     ) {
+        // Users name only jobs that were accepted.
+        if (!spec.predecessors.orEmpty().all(rules::isAccepted)) {
+            world.after(FOLLOW_UP) { begin(spec, cancelAfterUs) }
+            return
+        }
         rules.submitted(spec, world.now)
         submit(spec)
         if (cancelAfterUs != null) world.after(cancelAfterUs) { cancel(spec.id) }
@@ -106,4 +111,16 @@
         val node = up[world.random.nextInt(up.size)]
         world.after(world.delay()) { node.deliver(event(ReplyTo { answer -> world.after(world.delay()) { end(answer) } })) }
     }
+
+    private companion object {
+        /** How soon a job of a pipeline follows those that it needs. */
+        const val FOLLOW_UP: Micros = SECOND / 50
+    }
 }
+
+/** Submits [spec] to one controller, once; [then] hears the status of the answer. */
+internal fun World.submitTo(
+    node: Int,
+    spec: JobSpec,
+    then: (Int) -> Unit,
+) = nodes[node].deliver(Event.Submit(spec, ReplyTo { then(it.status) }))
--- /dev/null
+++ b/src/test/kotlin/mintpick/store/CompactRecordsTest.kt
@@ -0,0 +1,94 @@
+package mintpick.store
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.byte
+import io.kotest.property.arbitrary.byteArray
+import io.kotest.property.arbitrary.int
+import io.kotest.property.arbitrary.list
+import io.kotest.property.arbitrary.string
+import io.kotest.property.checkAll
+import kotlinx.coroutines.runBlocking
+import mintpick.Samples
+import mintpick.core.Chunk
+import mintpick.core.Job
+import mintpick.core.JobId
+import mintpick.core.MachineId
+import mintpick.core.Placement
+import mintpick.wire.MachineRecord
+import mintpick.wire.StoredStage
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.Base64
+import java.util.BitSet
+import java.util.SplittableRandom
+
+class CompactRecordsTest {
+    private val config = PropTestConfig(seed = 77)
+
+    private val valueBytes = 2_000
+
+    @Test
+    fun `names of any form are read back as they were`(): Unit =
+        runBlocking {
+            checkAll(config, Arb.list(Arb.string(0..12), 0..40), Arb.list(Arb.int(0..2_000_000_000), 0..40)) { odd, numbers ->
+                val names = CompactNames.ordered((odd + numbers.map { "host-$it" } + numbers.map { "host-%06d".format(it) }).toSet())
+                val to = VarintWriter().also { CompactNames.write(names, it) }
+                assertEquals(names, CompactNames.read(VarintReader(to.toByteArray())))
+            }
+        }
+
+    /** A full chunk, each task on a machine of its own among thousands, half of them at later attempts, with its job. */
+    @Test
+    fun `the largest job record fits into the smallest value`() {
+        val random = SplittableRandom(3)
+        repeat(50) {
+            val machines = generateSequence { random.nextInt(30_000) }.distinct().take(Job.CHUNK).toList()
+            val placed =
+                machines.withIndex().associate { (task, n) ->
+                    task to
+                        Placement(MachineId("host-%06d".format(n)), 1 + random.nextInt(2) * 40)
+                }
+            val spec = Samples.spec("req-123456789", "a team of some length", tasks = 100_000, estimateS = 123.456)
+            val chunk = Chunk(0, Job.CHUNK, placed, BitSet(), emptyMap())
+            val job = Job(JobId(spec.id), spec, StoredStage.OPEN, 1_700_000_000_000_000, 7, mapOf(0 to chunk))
+            val value = RecordCodec.jobJson(job, RecordFormat.COMPACT)
+            assertTrue(value.toString().length <= valueBytes, "${value.toString().length} B")
+            val again = RecordCodec.job(job.id, RecordCodec.decodeJob(value), 7, emptyMap())
+            assertEquals(placed, again?.chunk(0)?.placed)
+            assertTrue(RecordCodec.jobJson(job, RecordFormat.VERBOSE).toString().length > valueBytes, "the verbose one does not")
+        }
+    }
+
+    @Test
+    fun `bytes that are no record are refused, whatever they are`(): Unit =
+        runBlocking {
+            val refused = ArrayList<Int>()
+            checkAll(config, Arb.byteArray(Arb.int(0..60), Arb.byte())) { bytes ->
+                val text = Base64.getEncoder().withoutPadding().encodeToString(bytes)
+                runCatching { CompactChunk.decode(text, 64, 1) }.onFailure { expect(it).also { refused += 1 } }
+                runCatching { CompactFleet.decode(text) }.onFailure { expect(it).also { refused += 1 } }
+            }
+            assertTrue(refused.size > 1_000, "${refused.size} refused")
+        }
+
+    /** What readers of records take for a record that can't be read. */
+    private fun expect(failure: Throwable) =
+        assertTrue(failure is IllegalArgumentException || failure is ArithmeticException, failure.toString())
+
+    @Test
+    fun `machines keep their kinds, marks and addresses`(): Unit =
+        runBlocking {
+            checkAll(config, Arb.list(Arb.int(0..5_000), 0..150)) { numbers ->
+                val machines =
+                    numbers.toSet().associate { n ->
+                        val record =
+                            MachineRecord("type-${n % 3}", "zone-${n % 2}", n % 5 == 0, "10.1.${n / 250}.${n % 250}:${9000 + n % 2}")
+                        MachineId("host-%06d".format(n)) to record.copy(retiring = mintpick.wire.Retiring.entries[n % 3])
+                    }
+                val value = RecordCodec.fleetJson(machines, RecordFormat.COMPACT)
+                assertEquals(machines, RecordCodec.decodeFleet(value))
+            }
+        }
+}
