Large specifications, use by team and machine types in pieces that fit smaller values

A specification that leaves no room for its job's tasks in one value (one that names hundreds of jobs) is kept compressed in records of its own, stored before the main record that names them and guarded with it; what an unfinished submission leaves behind is removed. Use by team is kept by slot and range of teams, so that only the present slot's pieces are written; it was refused as a whole once it outgrew a value.

--- a/src/main/kotlin/mintpick/core/Model.kt
+++ b/src/main/kotlin/mintpick/core/Model.kt
@@ -216,6 +216,8 @@
     private val chunks: Map<Int, Chunk>,
     /** Whether all jobs that it waits for are done; before that none of its tasks may start. Derived, never stored. */
     val isReleased: Boolean = true,
+    /** Records that hold the specification apart from the main one; 0: it is in the main record. */
+    val specPieces: Int = 0,
 ) {
     val chunkCount: Int get() = (spec.tasks + CHUNK - 1) / CHUNK
     val done: Int = chunks.values.sumOf { it.doneCount }
@@ -247,7 +249,8 @@
         stage: StoredStage = this.stage,
         chunk: Pair<Int, Chunk>? = null,
         isReleased: Boolean = this.isReleased,
-    ): Job = Job(id, spec, stage, submittedUs, version, if (chunk == null) chunks else chunks + chunk, isReleased)
+        specPieces: Int = this.specPieces,
+    ): Job = Job(id, spec, stage, submittedUs, version, if (chunk == null) chunks else chunks + chunk, isReleased, specPieces)
 
     fun sizeOf(index: Int): Int = min(CHUNK, spec.tasks - index * CHUNK)
 
--- a/src/main/kotlin/mintpick/engine/Accounting.kt
+++ b/src/main/kotlin/mintpick/engine/Accounting.kt
@@ -5,6 +5,7 @@
 import mintpick.core.Job
 import mintpick.core.JobId
 import mintpick.core.Micros
+import mintpick.core.NodeId
 import mintpick.core.Resources
 import mintpick.core.SECOND
 import mintpick.core.ShareNode
@@ -13,6 +14,7 @@
 import mintpick.core.capacity
 import mintpick.core.demand
 import mintpick.store.Keys
+import mintpick.store.RecordFormat
 import mintpick.wire.StoredStage
 import mintpick.wire.UsageRecord
 import mintpick.wire.WireJson
@@ -23,6 +25,7 @@
     private val link: StateLink,
     private val ownership: Ownership,
     private val operators: Operators,
+    private val formats: FormatGate,
 ) {
     private val window = UsageWindow(operators.windowUs, operators.slotUs)
     private val teams = kernel.settings.teams
@@ -57,15 +60,24 @@
         summarize()
     }
 
-    /** A restarted controller goes on from the summary that its earlier process stored. */
+    /** A restarted controller goes on from what its earlier process stored. */
     private fun restore() {
         if (restored) return
         restored = true
-        val record = replica.usage[kernel.me] ?: return
-        for ((slot, shares) in record.slots) {
-            val number = slot.toLongOrNull() ?: continue
-            window.set(number, teams.mapIndexedNotNull { i, team -> shares.getOrNull(i)?.let { team.name to it } }.toMap())
+        for ((slot, use) in stored(kernel.me)) window.set(slot, use)
+    }
+
+    /** Use by slot and team that [node] has stored; what a piece tells of a slot counts before the whole of earlier versions. */
+    private fun stored(node: NodeId): Map<Long, Map<String, Double>> {
+        val slots = HashMap<Long, HashMap<String, Double>>()
+        for ((_, record) in replica.usage[node].orEmpty().toSortedMap()) {
+            val first = record.firstTeam ?: 0
+            for ((slot, shares) in record.slots) {
+                val use = slots.getOrPut(slot.toLongOrNull() ?: continue) { HashMap() }
+                shares.forEachIndexed { i, share -> teams.getOrNull(first + i)?.let { use[it.name] = share } }
+            }
         }
+        return slots
     }
 
     /** The cluster's size is what machines of all known kinds that have reported add up to. */
@@ -89,15 +101,49 @@
         if (busy || kernel.now < nextSummaryUs || !link.reachable || link.writesAllowed() < SPARE_WRITES) return
         nextSummaryUs = kernel.now + operators.summaryEveryUs
         busy = true
-        val slots =
-            window.snapshot().entries.associate { (slot, use) ->
-                slot.toString() to teams.map { Math.round((use[it.name] ?: 0.0) * ROUND) / ROUND }
+        val writes = if (formats.current == RecordFormat.VERBOSE) listOf(wholeSummary()) else pieceSummaries()
+        var open = 0
+        for (some in writes.chunked(kernel.settings.limits.transactionOps)) {
+            open++
+            link.transact(emptyList(), some) { if (--open == 0) busy = false }
+        }
+    }
+
+    /** All that the window holds in one record, as earlier versions keep it. */
+    private fun wholeSummary(): Write {
+        val slots = window.snapshot().entries.associate { (slot, use) -> slot.toString() to shares(use, teams.indices) }
+        return summary(0, UsageRecord(kernel.wall, slots))
+    }
+
+    /** The pieces of the present slot; a record of earlier versions goes once all its slots have left the window. */
+    private fun pieceSummaries(): List<Write> {
+        val snapshot = window.snapshot()
+        val pieces =
+            layout().piecesOf(window.slotOf(kernel.wall)).map { piece ->
+                val slots =
+                    snapshot.filterKeys { it in piece.slots }.entries.associate { (slot, use) ->
+                        "$slot" to shares(use, piece.teams)
+                    }
+                summary(piece.number, UsageRecord(kernel.wall, slots, piece.teams.first))
             }
-        val key = Keys.usage(kernel.me.text)
-        val value = WireJson.encodeToJsonElement(UsageRecord.serializer(), UsageRecord(kernel.wall, slots))
-        link.transact(emptyList(), listOf(Write(key, value))) { busy = false }
+        val oldest = window.slotOf(kernel.wall - operators.windowUs)
+        val whole = replica.usage[kernel.me]?.get(0)
+        val isOver = whole != null && whole.slots.keys.none { (it.toLongOrNull() ?: 0) >= oldest }
+        return if (isOver) pieces + Write(Keys.usage(kernel.me.text), null) else pieces
     }
 
+    private fun layout() = UsageLayout(teams.size, (operators.windowUs / operators.slotUs).toInt() + 1, formats.valueBytes)
+
+    private fun shares(
+        use: Map<String, Double>,
+        among: IntRange,
+    ): List<Double> = among.map { Math.round((use[teams[it].name] ?: 0.0) * ROUND) / ROUND }
+
+    private fun summary(
+        piece: Int,
+        record: UsageRecord,
+    ) = Write(Keys.usage(kernel.me.text, piece), WireJson.encodeToJsonElement(UsageRecord.serializer(), record))
+
     /** Use by team: our own as it is now, the other controllers' as of their last summaries. */
     fun use(team: String): Double {
         if (kernel.now - usageAt >= REFRESH) {
@@ -105,12 +151,9 @@
             val sums = HashMap<String, Double>()
             teams.forEach { sums[it.name] = window.use(it.name) }
             val oldest = window.slotOf(kernel.wall - operators.windowUs)
-            for ((node, record) in replica.usage) {
+            for (node in replica.usage.keys) {
                 if (node == kernel.me) continue
-                for ((slot, shares) in record.slots) {
-                    if ((slot.toLongOrNull() ?: 0) < oldest) continue
-                    teams.forEachIndexed { i, t -> sums.merge(t.name, shares.getOrNull(i) ?: 0.0, Double::plus) }
-                }
+                for ((slot, use) in stored(node)) if (slot >= oldest) use.forEach { (team, share) -> sums.merge(team, share, Double::plus) }
             }
             usage = sums
             places = null
--- a/src/main/kotlin/mintpick/engine/Capacity.kt
+++ b/src/main/kotlin/mintpick/engine/Capacity.kt
@@ -9,7 +9,9 @@
 import mintpick.core.Offer
 import mintpick.core.SECOND
 import mintpick.store.Keys
+import mintpick.store.RecordFormat
 import mintpick.wire.ListedMachine
+import mintpick.wire.MachineType
 import mintpick.wire.RentalRequest
 import mintpick.wire.RentalStage
 import mintpick.wire.Retiring
@@ -26,6 +28,7 @@
     private val fleet: Fleet,
     private val observer: Observer,
     private val standing: Standing,
+    private val formats: FormatGate,
 ) {
     /** A machine that was rented, or listed, and has not reported yet. */
     class Booting(
@@ -133,13 +136,18 @@
             val result = protocol.readTypes(outcome)
             if (result !is CloudProtocol.Result.Ok || result.value.types.isEmpty()) return@call
             nextTypesUs = kernel.now + TYPES_EVERY
-            val value = Replica.encodeTypes(result.value.types)
-            if (result.value.types != replica.types.values.toList()) {
-                link.transact(emptyList(), listOf(Write(Keys.TYPES, value))) { }
-            }
+            if (result.value.types != replica.types.values.toList()) storeTypes(result.value.types)
         }
     }
 
+    /** Types that one value can't hold go on in further pieces, which versions that know but one do not look for. */
+    private fun storeTypes(types: List<MachineType>) {
+        val pieces = Replica.typePieces(types, formats.valueBytes, formats.current == RecordFormat.VERBOSE)
+        val writes = pieces.mapIndexed { i, value -> Write(Keys.types(i), value) }
+        val obsolete = (pieces.size until replica.typePieceCount).map { Write(Keys.types(it), null) }
+        (writes + obsolete).chunked(kernel.settings.limits.transactionOps).forEach { link.transact(emptyList(), it) { } }
+    }
+
     /** A reading of the cloud's list, page after page; a page that fails is asked for again, those before it are not. */
     private class Listing(
         val startedUs: Micros,
--- a/src/main/kotlin/mintpick/engine/Changes.kt
+++ b/src/main/kotlin/mintpick/engine/Changes.kt
@@ -10,6 +10,8 @@
 import mintpick.core.demand
 import mintpick.store.Keys
 import mintpick.store.RecordCodec
+import mintpick.store.RecordFormat
+import mintpick.store.SpecPieces
 import mintpick.store.TransactionResult
 import mintpick.wire.Guard
 import mintpick.wire.ReservationRecord
@@ -54,6 +56,7 @@
             .filter { it.cpusMax > 0 || it.gpusMax > 0 }
             .mapTo(HashSet()) { it.name }
     private val replica get() = kernel.replica
+    private val specs = Specs()
 
     /** What one transaction holds. */
     val limits = TransactionLimits(kernel.settings.limits.transactionOps)
@@ -112,13 +115,23 @@
         for ((id, pending) in desk.submissions) {
             if (pending.taken || !isFree(id) || replica.knows(id)) continue
             val spec = pending.spec ?: continue
-            val job = Job(id, spec, StoredStage.OPEN, kernel.wall, 0, emptyMap())
+            val inline = Job(id, spec, StoredStage.OPEN, kernel.wall, 0, emptyMap())
+            var job = inline
+            var write = Write(Keys.job(id.text), RecordCodec.jobJson(job, formats.current))
+            if (!fitsValue(write)) {
+                val unstored = specs.unstored(inline)
+                if (unstored.isNotEmpty()) {
+                    stored += unstored
+                    continue
+                }
+                job = specs.apart(inline)
+                write = Write(write.key, RecordCodec.jobJson(job, formats.current))
+            }
             pending.taken = true
-            val write = Write(Keys.job(id.text), RecordCodec.jobJson(job, formats.current))
             stored +=
                 Part(
                     id,
-                    guards = setOf(Guard(write.key, 0)),
+                    guards = specs.guards(job) + Guard(write.key, 0),
                     writes = listOf(write),
                     placed = emptyList(),
                     requeued = emptyList(),
@@ -129,7 +142,7 @@
         }
         // Apart from drafts, whose conflicts must not hold them up.
         send(stored, 0)
-        val parts = drafts.filter { it.changed }.map(::partOf)
+        val parts = drafts.filter { it.changed }.flatMap(::partsOf)
         val sent = send(if (placementsWait) inTurn(parts) else parts, kept)
         val placements = sent.count { it.isPlacement }
         recordsAhead = if (placementsWait) maxOf(0, recordsAhead + sent.size - placements * 2) else 0
@@ -152,12 +165,28 @@
         return cancelled + placements + records.take(may)
     }
 
-    private fun partOf(draft: Draft): Part {
-        val job = draft.job
+    /** What becomes of [draft]: its change, or the pieces of its specification if that has to make way first. */
+    private fun partsOf(draft: Draft): List<Part> {
+        val part = partOf(draft, draft.job)
+        if (part.writes.all(::fitsValue)) return listOf(part)
+        val unstored = specs.unstored(draft.before)
+        if (unstored.isEmpty()) return listOf(partOf(draft, specs.apart(draft.job)))
+        part.dropped()
+        return unstored
+    }
+
+    private fun fitsValue(write: Write): Boolean = (write.value?.toString()?.length ?: 0) <= formats.valueBytes
+
+    private fun partOf(
+        draft: Draft,
+        job: Job,
+    ): Part {
         val id = job.id
         val main = Keys.job(id.text)
         val guards = LinkedHashSet<Guard>()
         guards += Guard(main, draft.before.version)
+        // Once the main record names the pieces nobody writes them any more.
+        if (job.specPieces != draft.before.specPieces) guards += specs.guards(job)
         val writes = ArrayList<Write>()
         val over =
             when {
@@ -220,6 +249,34 @@
         return sent
     }
 
+    /** Specifications that are too large for a main record: their pieces are stored before it names them. */
+    private inner class Specs {
+        private fun pieces(job: Job): List<String> = SpecPieces.split(job.spec, formats.valueBytes)
+
+        /** The next of the pieces that have to be stored before [job] can be written with its specification apart. */
+        fun unstored(job: Job): List<Part> {
+            if (job.specPieces > 0 || formats.current == RecordFormat.VERBOSE) return emptyList()
+            val pieces = pieces(job)
+            if (replica.hasSpecPieces(job.id, pieces)) return emptyList()
+            val writes = pieces.mapIndexed { i, text -> Write(Keys.spec(job.id.text, i), SpecPieces.json(text)) }
+            val known = replica.specPiecesOf(job.id)
+            val missing = writes.filterIndexed { i, _ -> i !in known }.ifEmpty { writes }.take(limits.changes)
+            // Late copies of these writes fail once the main record names the pieces, or the job has changed otherwise.
+            val guard = Guard(Keys.job(job.id.text), job.version)
+            return listOf(Part(job.id, setOf(guard), missing, emptyList(), emptyList(), missing.sumOf(::size), committed = {}))
+        }
+
+        /** [job] with its specification apart, as far as the format has that. */
+        fun apart(job: Job): Job =
+            if (job.specPieces > 0 || formats.current == RecordFormat.VERBOSE) job else job.with(specPieces = pieces(job).size)
+
+        /** The pieces as they are known: another submission of the same id must not mix with them. */
+        fun guards(job: Job): Set<Guard> =
+            (0 until job.specPieces).mapTo(LinkedHashSet()) { i ->
+                Keys.spec(job.id.text, i).let { Guard(it, replica.version(it)) }
+            }
+    }
+
     /** Parts that go into one transaction, with the reservations that they bring with them. */
     private inner class Group {
         val parts = ArrayList<Part>()
@@ -238,7 +295,7 @@
                 writesWith(part) <= limits.changes &&
                 (guards + part.guards).size + reservations <= limits.guards &&
                 bytes + part.bytes <= MAX_BYTES &&
-                part.writes.all { (it.value?.toString()?.length ?: 0) <= formats.valueBytes }
+                part.writes.all(::fitsValue)
         }
 
         fun add(part: Part) {
--- a/src/main/kotlin/mintpick/engine/Desk.kt
+++ b/src/main/kotlin/mintpick/engine/Desk.kt
@@ -12,6 +12,7 @@
 import mintpick.core.predecessorIds
 import mintpick.net.Answer
 import mintpick.net.errorAnswer
+import mintpick.store.SpecPieces
 import mintpick.wire.JobAnswer
 import mintpick.wire.JobSpec
 import mintpick.wire.JobStage
@@ -243,11 +244,19 @@
             }
         if (!fits) return "fits no allowed machine type"
         val least = if (spec.isService || spec.isGang) spec.demand * spec.tasks.toDouble() else spec.demand
+        if (!canBeStored(spec)) return "needs more room than the state service has"
         val overCpus = team.cpusMax > 0 && least.cpus > team.cpusMax + Resources.EPSILON
         val overGpus = team.gpusMax > 0 && least.gpus > team.gpusMax + Resources.EPSILON
         return if (overCpus || overGpus) "needs more than the team's limit" else null
     }
 
+    /** Whether the specification fits into as many records as one transaction can hold together. */
+    private fun canBeStored(spec: JobSpec): Boolean {
+        if (spec.predecessors.orEmpty().size + spec.types.orEmpty().size < MANY_NAMES) return true
+        if (!formats.allowsDependencies) return SpecPieces.split(spec, formats.valueBytes).size <= 1
+        return SpecPieces.split(spec, formats.valueBytes).size < TransactionLimits(kernel.settings.limits.transactionOps).guards - 1
+    }
+
     private fun busy(message: String): Answer = errorAnswer(UNAVAILABLE, message, RETRY_S)
 
     companion object {
@@ -259,6 +268,9 @@
         private const val TOO_MANY = 429
         private const val UNAVAILABLE = 503
         private const val RETRY_S = 1
+
+        /** Fewer names always fit. */
+        private const val MANY_NAMES = 50
         private const val MIN_PENDING = 8
         private const val PENDING_S = 2.5
 
--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -38,15 +38,16 @@
     private val orders = Orders(kernel, standing)
     private val fleet = Fleet(kernel, link, ownership, standing, orders)
     private val observer = Observer(kernel, ownership, fleet, orders)
-    private val accounting = Accounting(kernel, link, ownership, operators)
+    private val accounting = Accounting(kernel, link, ownership, operators, formats)
     private val preemptor = Preemptor(kernel, ownership, fleet, orders, accounting, operators)
     private val scheduling = Scheduling(kernel, ownership, fleet, orders, observer, accounting, standing, preemptor, operators)
-    private val capacity = Capacity(kernel, link, ownership, fleet, observer, standing)
+    private val capacity = Capacity(kernel, link, ownership, fleet, observer, standing, formats)
     private val roster = Roster(kernel, link, ownership, fleet, observer, formats)
     private val supply = Supply(kernel, link, ownership, fleet, observer, capacity, roster, orders, scheduling, standing, operators)
     private val desk = Desk(kernel, link, formats)
     private val changes = Changes(kernel, link, ownership, desk, orders, formats)
     private val caretaker = Caretaker(kernel, link, ownership, fleet, standing, roster, orders, scheduling)
+    private val sweeper = RecordSweeper(kernel, link, ownership, desk)
     private var nextHintUs: Micros = 0
     private var nextPlanUs: Micros = 0
     private var hints = 0
@@ -79,6 +80,7 @@
         supply.tick()
         caretaker.tick()
         roster.tick()
+        sweeper.tick()
         val touched = kernel.replica.touched.toSet()
         kernel.replica.touched.clear()
         fleet.tick(touched)
--- /dev/null
+++ b/src/main/kotlin/mintpick/engine/RecordSweeper.kt
@@ -0,0 +1,56 @@
+package mintpick.engine
+
+import mintpick.core.JobId
+import mintpick.core.Micros
+import mintpick.core.SECOND
+import mintpick.store.Keys
+import mintpick.wire.Guard
+
+/**
+ * Removes records that nothing refers to any more: specifications kept apart from the main records of jobs that are over,
+ * or whose submission was never finished. Housekeeping only, which waits until there are writes to spare.
+ */
+class RecordSweeper(
+    private val kernel: Kernel,
+    private val link: StateLink,
+    private val ownership: Ownership,
+    private val desk: Desk,
+) {
+    /** Since when each specification has been without an open job. */
+    private val unusedSince = HashMap<JobId, Micros>()
+    private var nextUs: Micros = 0
+    private var busy = false
+
+    private val replica get() = kernel.replica
+
+    fun tick() {
+        if (!link.serving || !link.reachable || kernel.now < nextUs) return
+        nextUs = kernel.now + EVERY
+        val unused = replica.specsApart.filter { replica.job(it) == null && it !in desk.submissions }.toSet()
+        unusedSince.keys.retainAll(unused)
+        unused.forEach { unusedSince.putIfAbsent(it, kernel.now) }
+        val due = unusedSince.filter { (id, since) -> kernel.now - since > patience(id) && ownership.home(id) == kernel.me }.keys
+        due.firstOrNull()?.let(::remove)
+    }
+
+    /** A user who was not told of the acceptance may submit the same job again for a minute. */
+    private fun patience(job: JobId): Micros = if (replica.final(job) == null) UNFINISHED else EVERY
+
+    private fun remove(job: JobId) {
+        if (busy || link.writesAllowed() < SPARE_WRITES) return
+        val keys =
+            replica
+                .specPiecesOf(job)
+                .sortedDescending()
+                .take(kernel.settings.limits.transactionOps)
+                .map { Keys.spec(job.text, it) }
+        busy = true
+        link.transact(keys.map { Guard(it, replica.version(it)) }, keys.map { Write(it, null) }) { busy = false }
+    }
+
+    private companion object {
+        const val EVERY: Micros = 2 * SECOND
+        const val UNFINISHED: Micros = 120 * SECOND
+        const val SPARE_WRITES = 3
+    }
+}
--- a/src/main/kotlin/mintpick/engine/Replica.kt
+++ b/src/main/kotlin/mintpick/engine/Replica.kt
@@ -4,6 +4,7 @@
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.jsonPrimitive
 import mintpick.core.Job
 import mintpick.core.JobId
 import mintpick.core.MachineId
@@ -19,8 +20,11 @@
 import mintpick.dependencies.Readiness
 import mintpick.store.Keys
 import mintpick.store.RecordCodec
+import mintpick.store.SpecPieces
 import mintpick.wire.ClaimRecord
 import mintpick.wire.FormatRecord
+import mintpick.wire.JobRecord
+import mintpick.wire.JobSpec
 import mintpick.wire.MachineRecord
 import mintpick.wire.MachineType
 import mintpick.wire.NodeRecord
@@ -28,6 +32,7 @@
 import mintpick.wire.UsageRecord
 import mintpick.wire.WireJson
 import org.slf4j.LoggerFactory
+import java.util.TreeMap
 
 /** A claim as it stands: who holds it, and the version that serves as fencing token. */
 data class Claim(
@@ -72,11 +77,20 @@
     val borrowEnds = HashMap<MachineId, Long>()
     val machines = HashMap<MachineId, KnownMachine>()
     val nodes = HashMap<NodeId, NodeRecord>()
-    val usage = HashMap<NodeId, UsageRecord>()
+
+    /** Use by team as each controller has stored it, by piece. */
+    val usage = HashMap<NodeId, MutableMap<Int, UsageRecord>>()
     var leader: Claim? = null
         private set
     var types: Map<String, MachineType> = emptyMap()
         private set
+
+    /** Specifications that are apart from their jobs' main records, by piece. */
+    private val specPieces = HashMap<JobId, TreeMap<Int, String>>()
+
+    /** Main records that were read before all pieces of their specifications. */
+    private val incomplete = HashMap<JobId, Pair<JobRecord, Long>>()
+    private val typePieces = TreeMap<Int, List<MachineType>>()
     private val tables = HashMap<Keys.Subject.Fleet, Set<MachineId>>()
     private val waitingIds = LinkedHashSet<JobId>()
 
@@ -137,6 +151,9 @@
 
     fun version(key: String): Long = versions.getLong(key)
 
+    /** How many pieces the machine types are stored in. */
+    val typePieceCount: Int get() = typePieces.size
+
     /** Tasks assigned to a machine, with their attempts. */
     fun tasksOn(machine: MachineId): Map<TaskId, Int> = tasksByMachine[machine] ?: emptyMap()
 
@@ -190,6 +207,7 @@
         when (subject) {
             is Keys.Subject.Job -> applyJob(JobId(subject.id), value, version)
             is Keys.Subject.Chunk -> applyChunk(subject, value, version)
+            is Keys.Subject.Spec -> applySpec(JobId(subject.id), subject.piece, value)
             is Keys.Subject.Shard -> set(claims, subject.index, value) { claim(it, version) }
             is Keys.Subject.Borrow -> applyBorrow(MachineId(subject.machine), value, version)
             is Keys.Subject.Machine -> {
@@ -205,13 +223,16 @@
             is Keys.Subject.Node -> set(nodes, NodeId(subject.node), value) { WireJson.decodeFromJsonElement(NodeRecord.serializer(), it) }
             is Keys.Subject.Usage ->
                 set(
-                    usage,
-                    NodeId(subject.node),
+                    usage.getOrPut(NodeId(subject.node)) { HashMap() },
+                    subject.piece,
                     value,
                 ) { WireJson.decodeFromJsonElement(UsageRecord.serializer(), it) }
             is Keys.Subject.Team -> Unit
             Keys.Subject.Leader -> leader = value?.let { claim(it, version) }
-            Keys.Subject.Types -> if (value != null) types = decodeTypes(value).associateBy { it.name }
+            is Keys.Subject.Types -> {
+                set(typePieces, subject.piece, value, ::decodeTypes)
+                if (typePieces.isNotEmpty()) types = typePieces.values.flatten().associateBy { it.name }
+            }
         }
     }
 
@@ -275,7 +296,7 @@
             dependencies.remove(id)
             return
         }
-        if (record.spec == null) {
+        if (record.isFinal) {
             finalKey(id)?.let { finals.put(it, if (record.stage == StoredStage.DONE) record.tasks else -record.tasks) }
             replace(id, before, null)
             dependencies.remove(id)
@@ -284,12 +305,50 @@
         }
         val others =
             before?.let { job -> (1 until job.chunkCount).associateWith { job.chunk(it) }.filterValues { it.version > 0 } }.orEmpty()
-        val stored = RecordCodec.job(id, record, version, others) ?: return
+        val stored = RecordCodec.job(id, record, version, others, before?.spec ?: specApart(id, record.specPieces ?: 0))
+        if (stored == null) {
+            incomplete[id] = record to version
+            return
+        }
+        incomplete.remove(id)
         val job = derived(stored)
         replace(id, before, job)
         if (job.stage == StoredStage.CANCELLED) ended(id, StoredStage.CANCELLED)
     }
 
+    private fun applySpec(
+        id: JobId,
+        piece: Int,
+        value: JsonElement?,
+    ) {
+        val pieces = specPieces.getOrPut(id) { TreeMap() }
+        set(pieces, piece, value) { it.jsonPrimitive.content }
+        if (pieces.isEmpty()) specPieces.remove(id)
+        val (record, version) = incomplete[id] ?: return
+        applyJob(id, WireJson.encodeToJsonElement(JobRecord.serializer(), record), version)
+    }
+
+    /** The specification that is kept apart, once all of its [count] pieces are known. */
+    private fun specApart(
+        id: JobId,
+        count: Int,
+    ): JobSpec? {
+        val pieces = specPieces[id]?.headMap(count) ?: return null
+        return if (count == 0 || pieces.size < count) null else SpecPieces.join(pieces.values)
+    }
+
+    /** Whether [pieces] are stored as the specification of [id]. */
+    fun hasSpecPieces(
+        id: JobId,
+        pieces: List<String>,
+    ): Boolean = specPieces[id]?.headMap(pieces.size)?.values?.toList() == pieces
+
+    /** Jobs that specifications are kept of apart from main records, whether there is such a job or not. */
+    val specsApart: Set<JobId> get() = specPieces.keys
+
+    /** Numbers of the pieces of [id]'s specification. */
+    fun specPiecesOf(id: JobId): Set<Int> = specPieces[id]?.keys.orEmpty()
+
     /** A job as it stands by its own record and by those of the jobs that it waits for. */
     private fun derived(stored: Job): Job =
         when (dependencies.add(stored.id, stored.spec.predecessorIds, ::predecessorState)) {
@@ -395,6 +454,25 @@
 
         fun decodeTypes(value: JsonElement): List<MachineType> = WireJson.decodeFromJsonElement(TYPE_LIST, value)
 
-        fun encodeTypes(types: List<MachineType>): JsonElement = WireJson.encodeToJsonElement(TYPE_LIST, types)
+        private fun encodeTypes(types: List<MachineType>): JsonElement = WireJson.encodeToJsonElement(TYPE_LIST, types)
+
+        /** [types] in as few lists as fit into values of [valueBytes]; the first alone if [isWhole], whatever its size. */
+        fun typePieces(
+            types: List<MachineType>,
+            valueBytes: Double,
+            isWhole: Boolean,
+        ): List<JsonElement> {
+            if (isWhole) return listOf(encodeTypes(types))
+            val pieces = ArrayList<List<MachineType>>()
+            for (type in types) {
+                val longer = pieces.lastOrNull().orEmpty() + type
+                if (pieces.isNotEmpty() && encodeTypes(longer).toString().length <= valueBytes) {
+                    pieces[pieces.lastIndex] = longer
+                } else {
+                    pieces += listOf(type)
+                }
+            }
+            return pieces.map(::encodeTypes)
+        }
     }
 }
--- a/src/main/kotlin/mintpick/store/Keys.kt
+++ b/src/main/kotlin/mintpick/store/Keys.kt
@@ -16,6 +16,7 @@
     private const val FLEET = ROOT + "f/"
     private const val EPOCH = ROOT + "v/"
     private const val FORMAT = ROOT + "x/"
+    private const val SPEC = ROOT + "p/"
 
     fun job(id: String) = JOB + id
 
@@ -46,7 +47,20 @@
 
     fun team(team: String) = TEAM + team
 
-    fun usage(node: String) = USAGE + node
+    /** A controller's use by team is kept in pieces; the whole of it, as earlier versions wrote it, is piece 0. */
+    fun usage(
+        node: String,
+        piece: Int = 0,
+    ) = if (piece == 0) USAGE + node else "$USAGE$node/$piece"
+
+    /** Machine types are split into pieces once they outgrow a value; the first has the plain key. */
+    fun types(piece: Int) = if (piece == 0) TYPES else "$TYPES/$piece"
+
+    /** A piece of a specification that is too large for its job's main record. */
+    fun spec(
+        id: String,
+        piece: Int,
+    ) = "$SPEC$id/$piece"
 
     /** The newest record format that a controller reads. */
     fun format(node: String) = FORMAT + node
@@ -62,6 +76,11 @@
             val index: Int,
         ) : Subject
 
+        data class Spec(
+            val id: String,
+            val piece: Int,
+        ) : Subject
+
         data class Shard(
             val index: Int,
         ) : Subject
@@ -92,6 +111,7 @@
 
         data class Usage(
             val node: String,
+            val piece: Int = 0,
         ) : Subject
 
         data class Format(
@@ -100,13 +120,16 @@
 
         data object Leader : Subject
 
-        data object Types : Subject
+        data class Types(
+            val piece: Int,
+        ) : Subject
     }
 
     fun parse(key: String): Subject? =
         when {
             key == LEADER -> Subject.Leader
-            key == TYPES -> Subject.Types
+            key == TYPES -> Subject.Types(0)
+            key.startsWith("$TYPES/") -> key.substring(TYPES.length + 1).toIntOrNull()?.let { Subject.Types(it) }
             key.startsWith(JOB) -> Subject.Job(key.substring(JOB.length))
             key.startsWith(CHUNK) -> chunkOf(key.substring(CHUNK.length))
             key.startsWith(SHARD) -> key.substring(SHARD.length).toIntOrNull()?.let { Subject.Shard(it) }
@@ -116,8 +139,9 @@
             key.startsWith(MACHINE) -> Subject.Machine(key.substring(MACHINE.length))
             key.startsWith(NODE) -> Subject.Node(key.substring(NODE.length))
             key.startsWith(TEAM) -> Subject.Team(key.substring(TEAM.length))
+            key.startsWith(SPEC) -> specOf(key.substring(SPEC.length))
             key.startsWith(FORMAT) -> Subject.Format(key.substring(FORMAT.length))
-            key.startsWith(USAGE) -> Subject.Usage(key.substring(USAGE.length))
+            key.startsWith(USAGE) -> usageOf(key.substring(USAGE.length))
             else -> null
         }
 
@@ -128,6 +152,14 @@
         return if (piece > 0) Subject.Fleet(part, piece) else null
     }
 
+    private fun specOf(rest: String): Subject? =
+        rest.substringAfterLast('/', "").toIntOrNull()?.let { Subject.Spec(rest.substringBeforeLast('/'), it) }
+
+    private fun usageOf(rest: String): Subject? {
+        if ('/' !in rest) return Subject.Usage(rest)
+        return rest.substringAfterLast('/').toIntOrNull()?.let { Subject.Usage(rest.substringBeforeLast('/'), it) }
+    }
+
     private fun chunkOf(rest: String): Subject? {
         val index = rest.substringAfterLast('/', "").toIntOrNull() ?: return null
         return if (index > 0) Subject.Chunk(rest.substringBeforeLast('/'), index) else null
--- a/src/main/kotlin/mintpick/store/RecordCodec.kt
+++ b/src/main/kotlin/mintpick/store/RecordCodec.kt
@@ -10,6 +10,7 @@
 import mintpick.wire.FleetGroup
 import mintpick.wire.FleetRecord
 import mintpick.wire.JobRecord
+import mintpick.wire.JobSpec
 import mintpick.wire.MachineRecord
 import mintpick.wire.Retiring
 import mintpick.wire.StoredStage
@@ -53,7 +54,12 @@
     fun jobJson(
         job: Job,
         format: RecordFormat,
-    ): JsonElement = encode(JobRecord(job.stage, job.spec.tasks, job.submittedUs, job.spec, chunkRecord(job.chunk(0), format)))
+    ): JsonElement {
+        val chunk = chunkRecord(job.chunk(0), format)
+        val isApart = job.specPieces > 0
+        val spec = job.spec.takeUnless { isApart }
+        return encode(JobRecord(job.stage, job.spec.tasks, job.submittedUs, spec, chunk, job.specPieces.takeIf { isApart }))
+    }
 
     fun chunkJson(
         chunk: Chunk,
@@ -70,16 +76,17 @@
 
     fun decodeChunk(value: JsonElement): ChunkRecord = WireJson.decodeFromJsonElement(ChunkRecord.serializer(), value)
 
-    /** The job of an open record with its first chunk; null for a final one. */
+    /** The job of an open record with its first chunk; null for a final one, or if its specification is apart and not given. */
     fun job(
         id: JobId,
         record: JobRecord,
         version: Long,
         others: Map<Int, Chunk>,
+        apart: JobSpec? = null,
     ): Job? {
-        val spec = record.spec ?: return null
+        val spec = record.spec ?: apart ?: return null
         val first = chunk(record.chunk ?: ChunkRecord(), minOf(Job.CHUNK, spec.tasks), version)
-        return Job(id, spec, record.stage, record.submittedUs, version, others + (0 to first))
+        return Job(id, spec, record.stage, record.submittedUs, version, others + (0 to first), specPieces = record.specPieces ?: 0)
     }
 
     fun fleetJson(
--- a/src/main/kotlin/mintpick/wire/Records.kt
+++ b/src/main/kotlin/mintpick/wire/Records.kt
@@ -29,7 +29,10 @@
     @SerialName("c") val compact: String? = null,
 )
 
-/** A job's main record. A final one has neither [spec] nor [chunk]. */
+/**
+ * A job's main record. A final one has neither [spec] nor [chunk]. A large specification is kept in so many records of its
+ * own as [specPieces] says.
+ */
 @Serializable
 data class JobRecord(
     val stage: StoredStage,
@@ -37,7 +40,10 @@
     @SerialName("at") val submittedUs: Long = 0,
     val spec: JobSpec? = null,
     val chunk: ChunkRecord? = null,
-)
+    @SerialName("sp") val specPieces: Int? = null,
+) {
+    val isFinal: Boolean get() = spec == null && specPieces == null
+}
 
 /**
  * The machines of one part of the cluster that have reported: one record for all of them, since a change of a third of
@@ -114,9 +120,13 @@
     val gpus: Double,
 )
 
-/** Dominant-resource use of one team by one controller's machines, in share-seconds per time slot. */
+/**
+ * Dominant-resource use by team on one controller's machines, in share-seconds per time slot. In each slot the teams
+ * follow one another as in the settings, from the one numbered [firstTeam] on.
+ */
 @Serializable
 data class UsageRecord(
     @SerialName("at") val atUs: Long,
     @SerialName("slots") val slots: Map<String, List<Double>> = emptyMap(),
+    @SerialName("f") val firstTeam: Int? = null,
 )
--- a/src/test/kotlin/mintpick/wire/SubmissionTest.kt
+++ b/src/test/kotlin/mintpick/wire/SubmissionTest.kt
@@ -43,6 +43,7 @@
                 0.0,
                 0.0,
                 if (Arb.boolean().bind()) 90.0 else null,
+                if (Arb.boolean().bind()) listOf("req-1", "req-000002") else null,
             )
         }
 
@@ -57,7 +58,7 @@
     @Test
     fun `a field of the wrong kind, or a required one missing, is named`(): Unit =
         runBlocking {
-            val optional = setOf("breeds", "plot", "due_s")
+            val optional = setOf("breeds", "plot", "due_s", "waits_on")
             checkAll(config, specs) { spec ->
                 val whole = WireJson.encodeToJsonElement(JobSpec.serializer(), spec) as JsonObject
                 for (field in whole.keys) {
@@ -100,6 +101,22 @@
         assertThrows(MalformedException::class.java) { Submission.parse(whole.toString().replace("\"vcpus\":2.0", "\"vcpus\":1e999")) }
     }
 
+    private fun withPredecessors(value: String): JobSpec {
+        val whole = WireJson.encodeToJsonElement(JobSpec.serializer(), mintpick.Samples.spec("req-000009")) as JsonObject
+        return Submission.parse(JsonObject(whole + ("waits_on" to WireJson.parseToJsonElement(value))).toString())
+    }
+
+    @Test
+    fun `jobs to wait for are named once each, and none at all in three ways`() {
+        assertEquals(listOf("req-1", "req-000002"), withPredecessors("""["req-1","req-000002","req-1"]""").predecessors)
+        assertEquals(null, withPredecessors("[]").predecessors)
+        assertEquals(null, withPredecessors("null").predecessors)
+        for (bad in listOf("\"req-1\"", "[7]", "[null]", "[\"job-1\"]", "[\"req-\"]", "[\"req-000009\"]", "{}", "[[]]", "true")) {
+            val error = assertThrows(MalformedException::class.java, { withPredecessors(bad) }, bad)
+            assertEquals("waits_on" to "req-000009", error.message?.substringBefore(':') to error.id, bad)
+        }
+    }
+
     @Test
     fun `text that is no object never does more than be refused`(): Unit =
         runBlocking {
