--- a/src/main/kotlin/mintpick/engine/Accounting.kt
+++ b/src/main/kotlin/mintpick/engine/Accounting.kt
@@ -21,14 +21,14 @@
 
 /** Keeps each team's windowed use of machine time, and says who is funded and who comes first. */
 class Accounting(
-    private val kernel: Kernel,
+    private val context: EngineContext,
     private val link: StateLink,
     private val ownership: Ownership,
     private val operators: Operators,
     private val formats: FormatGate,
 ) {
     private val window = UsageWindow(operators.windowUs, operators.slotUs)
-    private val teams = kernel.settings.teams
+    private val teams = context.settings.teams
     private val tree: ShareTree = ShareTree(budgets())
     private var lastUs: Micros? = null
     private var nextSummaryUs: Micros = 0
@@ -41,7 +41,7 @@
     private val overShare = HashMap<String, Boolean>()
     private var usageAt: Micros = -REFRESH
 
-    private val replica get() = kernel.replica
+    private val replica get() = context.replica
 
     private fun budgets(): ShareNode.Group {
         val given = operators.shares
@@ -54,9 +54,9 @@
         if (!link.serving) return
         restore()
         val before = lastUs
-        if (before != null && kernel.now - before < TICK) return
-        lastUs = kernel.now
-        if (before != null) charge((kernel.now - before).toDouble() / SECOND)
+        if (before != null && context.now - before < TICK) return
+        lastUs = context.now
+        if (before != null) charge((context.now - before).toDouble() / SECOND)
         summarize()
     }
 
@@ -64,7 +64,7 @@
     private fun restore() {
         if (restored) return
         restored = true
-        for ((slot, use) in stored(kernel.me)) window.set(slot, use)
+        for ((slot, use) in stored(context.me)) window.set(slot, use)
     }
 
     /** Use by slot and team that [node] has stored; what a piece tells of a slot counts before the whole of earlier versions. */
@@ -93,17 +93,17 @@
                 used.merge(spec.team, spec.demand, Resources::plus)
             }
         }
-        used.forEach { (team, amount) -> window.add(team, amount.dominantShare(total) * seconds, kernel.wall) }
-        window.expire(kernel.wall)
+        used.forEach { (team, amount) -> window.add(team, amount.dominantShare(total) * seconds, context.wall) }
+        window.expire(context.wall)
     }
 
     private fun summarize() {
-        if (busy || kernel.now < nextSummaryUs || !link.reachable || link.writesAllowed() < SPARE_WRITES) return
-        nextSummaryUs = kernel.now + operators.summaryEveryUs
+        if (busy || context.now < nextSummaryUs || !link.reachable || link.writesAllowed() < SPARE_WRITES) return
+        nextSummaryUs = context.now + operators.summaryEveryUs
         busy = true
         val writes = if (formats.current == RecordFormat.VERBOSE) listOf(wholeSummary()) else pieceSummaries()
         var open = 0
-        for (some in writes.chunked(kernel.settings.limits.transactionOps)) {
+        for (some in writes.chunked(context.settings.limits.transactionOps)) {
             open++
             link.transact(emptyList(), some) { if (--open == 0) busy = false }
         }
@@ -112,24 +112,24 @@
     /** All that the window holds in one record, as earlier versions keep it. */
     private fun wholeSummary(): Write {
         val slots = window.snapshot().entries.associate { (slot, use) -> slot.toString() to shares(use, teams.indices) }
-        return summary(0, UsageRecord(kernel.wall, slots))
+        return summary(0, UsageRecord(context.wall, slots))
     }
 
     /** The pieces of the present slot; a record of earlier versions goes once all its slots have left the window. */
     private fun pieceSummaries(): List<Write> {
         val snapshot = window.snapshot()
         val pieces =
-            layout().piecesOf(window.slotOf(kernel.wall)).map { piece ->
+            layout().piecesOf(window.slotOf(context.wall)).map { piece ->
                 val slots =
                     snapshot.filterKeys { it in piece.slots }.entries.associate { (slot, use) ->
                         "$slot" to shares(use, piece.teams)
                     }
-                summary(piece.number, UsageRecord(kernel.wall, slots, piece.teams.first))
+                summary(piece.number, UsageRecord(context.wall, slots, piece.teams.first))
             }
-        val oldest = window.slotOf(kernel.wall - operators.windowUs)
-        val whole = replica.usage[kernel.me]?.get(0)
+        val oldest = window.slotOf(context.wall - operators.windowUs)
+        val whole = replica.usage[context.me]?.get(0)
         val isOver = whole != null && whole.slots.keys.none { (it.toLongOrNull() ?: 0) >= oldest }
-        return if (isOver) pieces + Write(Keys.usage(kernel.me.text), null) else pieces
+        return if (isOver) pieces + Write(Keys.usage(context.me.text), null) else pieces
     }
 
     private fun layout() = UsageLayout(teams.size, (operators.windowUs / operators.slotUs).toInt() + 1, formats.valueBytes)
@@ -142,17 +142,17 @@
     private fun summary(
         piece: Int,
         record: UsageRecord,
-    ) = Write(Keys.usage(kernel.me.text, piece), WireJson.encodeToJsonElement(UsageRecord.serializer(), record))
+    ) = Write(Keys.usage(context.me.text, piece), WireJson.encodeToJsonElement(UsageRecord.serializer(), record))
 
     /** Use by team: our own as it is now, the other controllers' as of their last summaries. */
     fun use(team: String): Double {
-        if (kernel.now - usageAt >= REFRESH) {
-            usageAt = kernel.now
+        if (context.now - usageAt >= REFRESH) {
+            usageAt = context.now
             val sums = HashMap<String, Double>()
             teams.forEach { sums[it.name] = window.use(it.name) }
-            val oldest = window.slotOf(kernel.wall - operators.windowUs)
+            val oldest = window.slotOf(context.wall - operators.windowUs)
             for (node in replica.usage.keys) {
-                if (node == kernel.me) continue
+                if (node == context.me) continue
                 for ((slot, use) in stored(node)) if (slot >= oldest) use.forEach { (team, share) -> sums.merge(team, share, Double::plus) }
             }
             usage = sums
@@ -175,8 +175,8 @@
 
     /** Jobs that their teams' guarantees pay for. */
     fun isFunded(job: JobId): Boolean {
-        if (kernel.now - fundedAt >= FUNDED_EVERY) {
-            fundedAt = kernel.now
+        if (context.now - fundedAt >= FUNDED_EVERY) {
+            fundedAt = context.now
             val byTeam = replica.jobs.filter { it.stage == StoredStage.OPEN && it.isReleased }.groupBy { it.spec.team }
             fundedJobs =
                 teams.flatMapTo(HashSet()) { team ->
--- a/src/main/kotlin/mintpick/engine/Capacity.kt
+++ b/src/main/kotlin/mintpick/engine/Capacity.kt
@@ -22,12 +22,12 @@
  * Every controller lists, since every one may need the proof; the leader alone rents and returns.
  */
 class Capacity(
-    private val kernel: Kernel,
+    private val context: EngineContext,
     private val link: StateLink,
     private val ownership: Ownership,
     private val fleet: Fleet,
     private val observer: Observer,
-    private val standing: Standing,
+    private val health: ControllerHealth,
     private val formats: FormatGate,
 ) {
     /** A machine that was rented, or listed, and has not reported yet. */
@@ -42,12 +42,12 @@
     }
 
     private val bootTimes = BootTimes()
-    private val protocol = CloudProtocol(kernel.settings.cloud.toString())
+    private val protocol = CloudProtocol(context.settings.cloud.toString())
 
     /** The leader alone rents and returns; lists, which every controller needs, have a part of the limit of their own. */
-    private val requests = Bucket(kernel.settings.cloudRps * RENT_PART, maxOf(1.0, kernel.settings.cloudRps * RENT_PART * 2))
+    private val requests = Bucket(context.settings.cloudRps * RENT_PART, maxOf(1.0, context.settings.cloudRps * RENT_PART * 2))
     private val lists =
-        (kernel.settings.cloudRps * LIST_PART / (kernel.settings.peers.size + 1)).let { Bucket(it, maxOf(1.0, it * 2)) }
+        (context.settings.cloudRps * LIST_PART / (context.settings.peers.size + 1)).let { Bucket(it, maxOf(1.0, it * 2)) }
     private val firstKnown = HashMap<MachineId, Micros>()
     val booting = LinkedHashMap<MachineId, Booting>()
     private val refusedUntil = HashMap<Offer, Micros>()
@@ -60,11 +60,11 @@
     private var nextReleaseUs: Micros = 0
     private var nextNoticeUs: Micros = 0
     private var rentals = 0
-    private val incarnation = java.lang.Long.toString(kernel.random.nextLong(Long.MAX_VALUE), RADIX)
+    private val incarnation = java.lang.Long.toString(context.random.nextLong(Long.MAX_VALUE), RADIX)
 
-    private val replica get() = kernel.replica
+    private val replica get() = context.replica
 
-    fun available(offer: Offer): Boolean = kernel.now >= (refusedUntil[offer] ?: 0)
+    fun available(offer: Offer): Boolean = context.now >= (refusedUntil[offer] ?: 0)
 
     /** Machines asked for whose names have not come back yet. */
     fun asked(): Map<Offer, Int> {
@@ -75,20 +75,20 @@
 
     fun tick() {
         if (!link.serving) return
-        if (kernel.now >= nextNoticeUs) notice()
-        if (kernel.now >= nextTypesUs) fetchTypes()
+        if (context.now >= nextNoticeUs) notice()
+        if (context.now >= nextTypesUs) fetchTypes()
         // Just after a start there is more urgent work than reading a thousand machines.
-        if (kernel.now >= nextListUs && kernel.now - link.servingSinceUs > SETTLE) list()
+        if (context.now >= nextListUs && context.now - link.servingSinceUs > SETTLE) list()
         retryRentals()
-        if (ownership.isLeader && standing.healthy() && kernel.now >= nextReleaseUs) release()
+        if (ownership.isLeader && health.healthy() && context.now >= nextReleaseUs) release()
     }
 
     private fun notice() {
-        nextNoticeUs = kernel.now + NOTICE_EVERY
-        replica.machines.keys.forEach { firstKnown.putIfAbsent(it, kernel.now) }
-        replica.machinesWithTasks().forEach { firstKnown.putIfAbsent(it, kernel.now) }
+        nextNoticeUs = context.now + NOTICE_EVERY
+        replica.machines.keys.forEach { firstKnown.putIfAbsent(it, context.now) }
+        replica.machinesWithTasks().forEach { firstKnown.putIfAbsent(it, context.now) }
         fleet.views().forEach { view ->
-            firstKnown.putIfAbsent(view.id, kernel.now)
+            firstKnown.putIfAbsent(view.id, context.now)
             if (fleet.isConfirmed(view)) endBoot(view.id)
         }
         replica.machines.keys.forEach(::endBoot)
@@ -122,7 +122,7 @@
         times: Double,
     ): Boolean {
         val nominal = bootUs(waiting)
-        return nominal > 0 && kernel.now - waiting.sinceUs > (nominal * times).toLong()
+        return nominal > 0 && context.now - waiting.sinceUs > (nominal * times).toLong()
     }
 
     /** Machines of this kind boot late or never: another kind does better. */
@@ -130,12 +130,12 @@
 
     private fun fetchTypes() {
         if (replica.types.isNotEmpty() && !ownership.isLeader) return
-        if (!lists.take(kernel.now, 1.0)) return
-        nextTypesUs = kernel.now + RETRY
-        kernel.call(protocol.types()) { outcome ->
+        if (!lists.take(context.now, 1.0)) return
+        nextTypesUs = context.now + RETRY
+        context.call(protocol.types()) { outcome ->
             val result = protocol.readTypes(outcome)
             if (result !is CloudProtocol.Result.Ok || result.value.types.isEmpty()) return@call
-            nextTypesUs = kernel.now + TYPES_EVERY
+            nextTypesUs = context.now + TYPES_EVERY
             if (result.value.types != replica.types.values.toList()) storeTypes(result.value.types)
         }
     }
@@ -145,7 +145,7 @@
         val pieces = Replica.typePieces(types, formats.valueBytes, formats.current == RecordFormat.VERBOSE)
         val writes = pieces.mapIndexed { i, value -> Write(Keys.types(i), value) }
         val obsolete = (pieces.size until replica.typePieceCount).map { Write(Keys.types(it), null) }
-        (writes + obsolete).chunked(kernel.settings.limits.transactionOps).forEach { link.transact(emptyList(), it) { } }
+        (writes + obsolete).chunked(context.settings.limits.transactionOps).forEach { link.transact(emptyList(), it) { } }
     }
 
     /** A reading of the cloud's list, page after page; a page that fails is asked for again, those before it are not. */
@@ -160,26 +160,26 @@
     private fun list() {
         val begun = listing
         // A short list is read at once; a long one at the pace of our part of the limit, which rentals must not lack.
-        if (lists.available(kernel.now) < (if (begun == null) 1.0 else -LIST_AHEAD)) return
-        val open = begun ?: Listing(kernel.now).also { listing = it }
-        if (open.isAsked || kernel.now < open.nextUs) return
-        lists.force(kernel.now, 1.0)
+        if (lists.available(context.now) < (if (begun == null) 1.0 else -LIST_AHEAD)) return
+        val open = begun ?: Listing(context.now).also { listing = it }
+        if (open.isAsked || context.now < open.nextUs) return
+        lists.force(context.now, 1.0)
         open.isAsked = true
-        kernel.call(protocol.list(open.machines.lastOrNull()?.id)) { outcome ->
+        context.call(protocol.list(open.machines.lastOrNull()?.id)) { outcome ->
             open.isAsked = false
             val result = protocol.readList(outcome)
             if (result is CloudProtocol.Result.Ok) {
                 open.machines += result.value.machines
                 if (!result.value.more || result.value.machines.isEmpty()) endList(open)
             } else {
-                open.nextUs = kernel.now + RETRY
+                open.nextUs = context.now + RETRY
             }
         }
     }
 
     private fun endList(list: Listing) {
         listing = null
-        nextListUs = kernel.now + if (ownership.isLeader) LIST_EVERY else LIST_EVERY * 2
+        nextListUs = context.now + if (ownership.isLeader) LIST_EVERY else LIST_EVERY * 2
         listed(list.machines, list.startedUs)
     }
 
@@ -193,19 +193,19 @@
             present += id
             if (observer.isGone(id)) continue
             ownership.meet(id, machine.zone)
-            firstKnown.putIfAbsent(id, kernel.now)
+            firstKnown.putIfAbsent(id, context.now)
             if (machine.stage == RentalStage.FAILED) failed += id
             if (id !in replica.machines && fleet.view(id)?.latest == null) {
-                val since = kernel.now - (machine.ageS * SECOND).toLong()
+                val since = context.now - (machine.ageS * SECOND).toLong()
                 booting.putIfAbsent(id, Booting(id, Offer(machine.type, machine.zone, machine.spot), since))
             }
         }
         // New machines are missing from a list for up to twice its lag; one known for longer that is not in it is gone.
-        val settled = kernel.settings.listLagUs * LAGS + LAG_MARGIN
+        val settled = context.settings.listLagUs * LAGS + LAG_MARGIN
         for ((id, since) in firstKnown.entries.toList()) {
             if (id in present || startedUs - since < settled) continue
             val heard = fleet.view(id)?.heardUs
-            if (heard != null && startedUs - heard < kernel.settings.listLagUs * LAGS) continue
+            if (heard != null && startedUs - heard < context.settings.listLagUs * LAGS) continue
             observer.gone(id, "not-listed")
             booting.remove(id)
             if (id !in replica.machines && replica.tasksOn(id).isEmpty()) firstKnown.remove(id)
@@ -222,9 +222,9 @@
         reason: String,
     ) {
         var left = count
-        while (left > 0 && requests.take(kernel.now, 1.0)) {
+        while (left > 0 && requests.take(context.now, 1.0)) {
             // Names of requests are never used again: not by us, nor by another process with our name.
-            val name = "${kernel.me.text}-$incarnation-${++rentals}"
+            val name = "${context.me.text}-$incarnation-${++rentals}"
             val request = RentalRequest(name, offer.type, offer.zone, offer.spot, minOf(left, CloudProtocol.MAX_RENT))
             LOG.info(
                 "rent request={} type={} zone={} spot={} count={} reason={}",
@@ -244,23 +244,23 @@
     private fun send(request: RentalRequest) {
         busyRentals += request.request
         val offer = Offer(request.type, request.zone, request.spot)
-        val sent = kernel.now
-        kernel.call(protocol.rent(request)) { outcome ->
+        val sent = context.now
+        context.call(protocol.rent(request)) { outcome ->
             busyRentals -= request.request
             when (val result = protocol.readRent(outcome)) {
                 is CloudProtocol.Result.Ok -> {
                     pendingRentals -= request.request
                     for (name in result.value.machines) {
                         val id = MachineId(name)
-                        firstKnown.putIfAbsent(id, kernel.now)
+                        firstKnown.putIfAbsent(id, context.now)
                         if (fleet.view(id)?.latest == null) booting[id] = Booting(id, offer, sent)
                     }
-                    if (result.value.machines.size < request.count) refusedUntil[offer] = kernel.now + NO_CAPACITY
+                    if (result.value.machines.size < request.count) refusedUntil[offer] = context.now + NO_CAPACITY
                     LOG.info("rented request={} got={}", request.request, result.value.machines.size)
                 }
                 CloudProtocol.Result.NoCapacity -> {
                     pendingRentals -= request.request
-                    refusedUntil[offer] = kernel.now + NO_CAPACITY
+                    refusedUntil[offer] = context.now + NO_CAPACITY
                     LOG.info("rent refused request={} type={} zone={} spot={}", request.request, offer.type, offer.zone, offer.spot)
                 }
                 CloudProtocol.Result.Refused -> pendingRentals -= request.request
@@ -272,11 +272,11 @@
 
     private fun retryRentals() {
         val request = pendingRentals.values.firstOrNull { it.request !in busyRentals } ?: return
-        if (requests.take(kernel.now, 1.0)) send(request)
+        if (requests.take(context.now, 1.0)) send(request)
     }
 
     private fun release() {
-        nextReleaseUs = kernel.now + LOOK_EVERY
+        nextReleaseUs = context.now + LOOK_EVERY
         val names = ArrayList<MachineId>()
         for (known in replica.machines.values) {
             val retiring = known.record.retiring
@@ -286,10 +286,10 @@
         for (waiting in booting.values) if (isOverdue(waiting)) names += waiting.id
         names += failed.filter { !observer.isGone(it) }
         val open = names.distinct().filter { it !in releasing }.take(CloudProtocol.MAX_RELEASE)
-        if (open.isEmpty() || !requests.take(kernel.now, 1.0)) return
-        nextReleaseUs = kernel.now + RELEASE_EVERY
+        if (open.isEmpty() || !requests.take(context.now, 1.0)) return
+        nextReleaseUs = context.now + RELEASE_EVERY
         releasing += open
-        kernel.call(protocol.release(open.map { it.text })) { outcome ->
+        context.call(protocol.release(open.map { it.text })) { outcome ->
             releasing -= open.toSet()
             if (protocol.readRelease(outcome) is CloudProtocol.Result.Ok) {
                 open.forEach {
@@ -308,14 +308,14 @@
             emptySince.remove(id)
             return false
         }
-        return kernel.now - emptySince.getOrPut(id) { kernel.now } >= EMPTY_LEAST
+        return context.now - emptySince.getOrPut(id) { context.now } >= EMPTY_LEAST
     }
 
     /** Some machines never come up, and are charged until they are returned. */
     private fun isOverdue(waiting: Booting): Boolean {
         val nominal = bootUs(waiting)
-        val most = (nominal * bootTimes.lostAfter(waiting.kind)).toLong() + BOOT_MARGIN + kernel.settings.listLagUs
-        return nominal > 0 && kernel.now - waiting.sinceUs > most
+        val most = (nominal * bootTimes.lostAfter(waiting.kind)).toLong() + BOOT_MARGIN + context.settings.listLagUs
+        return nominal > 0 && context.now - waiting.sinceUs > most
     }
 
     companion object {
--- a/src/main/kotlin/mintpick/engine/Changes.kt
+++ b/src/main/kotlin/mintpick/engine/Changes.kt
@@ -1,6 +1,5 @@
 package mintpick.engine
 
-import mintpick.core.AttemptId
 import mintpick.core.Job
 import mintpick.core.JobId
 import mintpick.core.MachineId
@@ -10,8 +9,6 @@
 import mintpick.core.demand
 import mintpick.store.Keys
 import mintpick.store.RecordCodec
-import mintpick.store.RecordFormat
-import mintpick.store.SpecPieces
 import mintpick.store.TransactionResult
 import mintpick.wire.Guard
 import mintpick.wire.ReservationRecord
@@ -21,27 +18,13 @@
 
 /** Turns drafts into guarded transactions and carries them to the state service, a few at a time. */
 class Changes(
-    private val kernel: Kernel,
+    private val context: EngineContext,
     private val link: StateLink,
     private val ownership: Ownership,
-    private val desk: Desk,
-    private val orders: Orders,
+    private val userRequests: UserRequests,
+    private val commandPlanner: CommandPlanner,
     private val formats: FormatGate,
 ) {
-    /** What must be written together. */
-    private class Part(
-        val job: JobId,
-        val guards: Set<Guard>,
-        val writes: List<Write>,
-        val placed: List<Pair<MachineId, Resources>>,
-        val requeued: List<AttemptId>,
-        val bytes: Int,
-        val committed: () -> Unit,
-        val dropped: () -> Unit = {},
-    ) {
-        val isPlacement: Boolean get() = placed.isNotEmpty()
-    }
-
     private val open = HashSet<JobId>()
     private val openTeams = HashSet<String>()
 
@@ -52,14 +35,14 @@
     private val reserved = HashMap<MachineId, Resources>()
 
     private val limitedTeams =
-        kernel.settings.teams
+        context.settings.teams
             .filter { it.cpusMax > 0 || it.gpusMax > 0 }
             .mapTo(HashSet()) { it.name }
-    private val replica get() = kernel.replica
-    private val specs = Specs()
+    private val replica get() = context.replica
 
     /** What one transaction holds. */
-    val limits = TransactionLimits(kernel.settings.limits.transactionOps)
+    val limits = TransactionLimits(context.settings.limits.transactionOps)
+    private val specs = SpecStorage(context, formats, limits)
 
     val hasRoom: Boolean get() = link.serving && link.reachable && link.transactionsOpen < MAX_OPEN && link.writesAllowed() > 0
 
@@ -70,7 +53,7 @@
     private var aloneUntilUs: Micros = 0
 
     fun isFree(job: JobId): Boolean {
-        if (job in open || kernel.now < (setAside[job] ?: 0)) return false
+        if (job in open || context.now < (setAside[job] ?: 0)) return false
         val until = outdated[job] ?: return true
         if (replica.revision < until) return false
         outdated.remove(job)
@@ -80,7 +63,7 @@
     fun reservedOn(machine: MachineId): Resources = reserved[machine] ?: Resources.ZERO
 
     private fun reserve(
-        group: List<Part>,
+        group: List<TransactionPart>,
         sign: Double,
     ) {
         for ((machine, demand) in group.flatMap { it.placed }) {
@@ -95,7 +78,7 @@
     fun budget(): Int = if (hasRoom) link.writesAllowed() - kept else 0
 
     /** Writes that drafts leave for the next submissions, which users wait for. */
-    private val kept = (kernel.settings.limits.writeRps / (kernel.settings.peers.size + 1) * KEPT_PART).toInt()
+    private val kept = (context.settings.limits.writeRps / (context.settings.peers.size + 1) * KEPT_PART).toInt()
 
     /**
      * Writes that recorded what has become of tasks, beyond those that placed tasks, while placements waited for writes.
@@ -108,19 +91,19 @@
      * writes ([placementsWait]) they take turns with the other drafts. Returns whether a placement found no write.
      */
     fun commit(
-        drafts: Collection<Draft>,
+        drafts: Collection<JobChange>,
         placementsWait: Boolean,
     ): Boolean {
-        val stored = ArrayList<Part>()
-        for ((id, pending) in desk.submissions) {
+        val stored = ArrayList<TransactionPart>()
+        for ((id, pending) in userRequests.submissions) {
             if (pending.taken || !isFree(id) || replica.knows(id)) continue
             val spec = pending.spec ?: continue
-            val inline = Job(id, spec, StoredStage.OPEN, kernel.wall, 0, emptyMap())
+            val inline = Job(id, spec, StoredStage.OPEN, context.wall, 0, emptyMap())
             var job = inline
             var write = Write(Keys.job(id.text), RecordCodec.jobJson(job, formats.current))
             if (!fitsValue(write)) {
                 val unstored = specs.unstored(inline)
-                if (unstored.isNotEmpty()) {
+                if (unstored != null) {
                     stored += unstored
                     continue
                 }
@@ -129,20 +112,17 @@
             }
             pending.taken = true
             stored +=
-                Part(
+                TransactionPart(
                     id,
                     guards = specs.guards(job) + Guard(write.key, 0),
                     writes = listOf(write),
-                    placed = emptyList(),
-                    requeued = emptyList(),
-                    bytes = size(write),
-                    committed = { desk.submitted(id) },
+                    committed = { userRequests.submitted(id) },
                     dropped = { pending.taken = false },
                 )
         }
         // Apart from drafts, whose conflicts must not hold them up.
         send(stored, 0)
-        val parts = drafts.filter { it.changed }.flatMap(::partsOf)
+        val parts = drafts.filter { it.changed }.map { partOf(it) }
         val sent = send(if (placementsWait) inTurn(parts) else parts, kept)
         val placements = sent.count { it.isPlacement }
         recordsAhead = if (placementsWait) maxOf(0, recordsAhead + sent.size - placements * 2) else 0
@@ -154,23 +134,22 @@
      * time, but placements only after each pass: without turns the former once took every write for a quarter of a minute,
      * and machines fell empty one after the other beside thousands of waiting tasks.
      */
-    private fun inTurn(parts: List<Part>): List<Part> {
+    private fun inTurn(parts: List<TransactionPart>): List<TransactionPart> {
         val (placements, others) = parts.partition { it.isPlacement }
-        val (cancelled, records) = others.partition { it.job in desk.cancellations }
-        if (recordsAhead < MOST_RECORDS_AHEAD) recordsHeldSinceUs = kernel.now
+        val (cancelled, records) = others.partition { it.job in userRequests.cancellations }
+        if (recordsAhead < MOST_RECORDS_AHEAD) recordsHeldSinceUs = context.now
         // A placement that needs more writes than the limit ever allows must not hold the others up for good.
-        if (kernel.now - recordsHeldSinceUs > LONGEST_HOLD) recordsAhead = 0
+        if (context.now - recordsHeldSinceUs > LONGEST_HOLD) recordsAhead = 0
         val may = maxOf(0, MOST_RECORDS_AHEAD - recordsAhead)
         records.drop(may).forEach { it.dropped() }
         return cancelled + placements + records.take(may)
     }
 
     /** What becomes of [draft]: its change, or the pieces of its specification if that has to make way first. */
-    private fun partsOf(draft: Draft): List<Part> {
+    private fun partOf(draft: JobChange): TransactionPart {
         val part = partOf(draft, draft.job)
-        if (part.writes.all(::fitsValue)) return listOf(part)
-        val unstored = specs.unstored(draft.before)
-        if (unstored.isEmpty()) return listOf(partOf(draft, specs.apart(draft.job)))
+        if (part.writes.all(::fitsValue)) return part
+        val unstored = specs.unstored(draft.before) ?: return partOf(draft, specs.apart(draft.job))
         part.dropped()
         return unstored
     }
@@ -178,9 +157,9 @@
     private fun fitsValue(write: Write): Boolean = write.valueBytes <= formats.valueBytes
 
     private fun partOf(
-        draft: Draft,
+        draft: JobChange,
         job: Job,
-    ): Part {
+    ): TransactionPart {
         val id = job.id
         val main = Keys.job(id.text)
         val guards = LinkedHashSet<Guard>()
@@ -207,37 +186,37 @@
         }
         guards += draft.guards
         val cancelled = job.stage == StoredStage.CANCELLED
-        if (cancelled) desk.cancellations[id]?.taken = true
-        return Part(
+        if (cancelled) userRequests.cancellations[id]?.taken = true
+        return TransactionPart(
             id,
             guards,
             writes,
             draft.placed.map { it.second to draft.job.spec.demand },
             draft.requeued,
-            writes.sumOf(::size),
-            committed = { if (cancelled) desk.cancelled(id) },
-            dropped = { desk.cancellations[id]?.taken = false },
+            team = limitedTeamOf(draft.job).takeIf { draft.placed.isNotEmpty() },
+            committed = { if (cancelled) userRequests.cancelled(id) },
+            dropped = { userRequests.cancellations[id]?.taken = false },
         )
     }
 
-    private fun size(write: Write): Int = write.key.length + write.valueBytes + WRITE_OVERHEAD
+    private fun newGroup() = TransactionGroup(limits, takesSeveral = context.now >= aloneUntilUs)
 
     /** Returns the parts for which there were writes. */
     private fun send(
-        parts: List<Part>,
+        parts: List<TransactionPart>,
         keep: Int,
-    ): List<Part> {
-        val sent = ArrayList<Part>()
-        var group = Group()
+    ): List<TransactionPart> {
+        val sent = ArrayList<TransactionPart>()
+        var group = newGroup()
         var dropRest = false
         for (part in parts) {
-            if (!group.isEmpty && !group.fits(part)) {
+            if (!group.isEmpty && !group.hasRoomFor(part)) {
                 transact(group.parts)
-                group = Group()
+                group = newGroup()
             }
             val open = link.transactionsOpen >= MAX_OPEN
             dropRest = dropRest || open || group.writesWith(part) > maxOf(1, link.writesAllowed() - keep)
-            if (dropRest || !group.fits(part)) {
+            if (dropRest || !group.hasRoomFor(part) || !part.writes.all(::fitsValue)) {
                 if (!dropRest) LOG.error("change of job={} fits no transaction: {} B", part.job.text, part.bytes)
                 part.dropped()
                 continue
@@ -249,75 +228,10 @@
         return sent
     }
 
-    /** Specifications that are too large for a main record: their pieces are stored before it names them. */
-    private inner class Specs {
-        private fun pieces(job: Job): List<String> = SpecPieces.split(job.spec, formats.valueBytes)
-
-        /** The next of the pieces that have to be stored before [job] can be written with its specification apart. */
-        fun unstored(job: Job): List<Part> {
-            if (job.specPieces > 0 || formats.current == RecordFormat.VERBOSE) return emptyList()
-            val pieces = pieces(job)
-            if (replica.hasSpecPieces(job.id, pieces)) return emptyList()
-            val writes = pieces.mapIndexed { i, text -> Write(Keys.spec(job.id.text, i), SpecPieces.json(text)) }
-            val known = replica.specPiecesOf(job.id)
-            val missing = writes.filterIndexed { i, _ -> i !in known }.ifEmpty { writes }.take(limits.changes)
-            // Late copies of these writes fail once the main record names the pieces, or the job has changed otherwise.
-            val guard = Guard(Keys.job(job.id.text), job.version)
-            return listOf(Part(job.id, setOf(guard), missing, emptyList(), emptyList(), missing.sumOf(::size), committed = {}))
-        }
-
-        /** [job] with its specification apart, as far as the format has that. */
-        fun apart(job: Job): Job =
-            if (job.specPieces > 0 || formats.current == RecordFormat.VERBOSE) job else job.with(specPieces = pieces(job).size)
-
-        /** The pieces as they are known: another submission of the same id must not mix with them. */
-        fun guards(job: Job): Set<Guard> =
-            (0 until job.specPieces).mapTo(LinkedHashSet()) { i ->
-                Keys.spec(job.id.text, i).let { Guard(it, replica.version(it)) }
-            }
-    }
-
-    /** Parts that go into one transaction, with the reservations that they bring with them. */
-    private inner class Group {
-        val parts = ArrayList<Part>()
-        private val guards = HashSet<Guard>()
-        private val teams = HashSet<String>()
-        private var writes = 0
-        private var bytes = 0
-        val isEmpty: Boolean get() = parts.isEmpty()
-
-        /** Writes of all parts and of [part], the reservations of their teams among them. */
-        fun writesWith(part: Part): Int = writes + part.writes.size + (teams + listOfNotNull(part.reservedTeam())).size
-
-        fun fits(part: Part): Boolean {
-            val reservations = (teams + listOfNotNull(part.reservedTeam())).size
-            return (isEmpty || kernel.now >= aloneUntilUs) &&
-                writesWith(part) <= limits.changes &&
-                (guards + part.guards).size + reservations <= limits.guards &&
-                bytes + part.bytes <= MAX_BYTES &&
-                part.writes.all(::fitsValue)
-        }
-
-        fun add(part: Part) {
-            parts += part
-            guards += part.guards
-            part.reservedTeam()?.let { teams += it }
-            writes += part.writes.size
-            bytes += part.bytes
-        }
-    }
-
-    /** The team whose reservation has to be raised with the part; null if it places nothing or its team has no limit. */
-    private fun Part.reservedTeam(): String? {
-        if (!isPlacement) return null
-        return replica
-            .job(job)
-            ?.spec
-            ?.team
-            ?.takeIf { it in limitedTeams }
-    }
+    /** The team whose reservation has to be raised with a placement of [job]; null if it has no limit. */
+    private fun limitedTeamOf(job: Job): String? = job.spec.team.takeIf { it in limitedTeams }
 
-    private fun transact(group: List<Part>) {
+    private fun transact(group: List<TransactionPart>) {
         val writes = LinkedHashMap<String, Write>()
         group.forEach { part -> part.writes.forEach { writes[it.key] = it } }
         val guards = LinkedHashSet<Guard>()
@@ -328,15 +242,15 @@
         openTeams += teams
         reserve(group, 1.0)
         val requeued = group.flatMap { it.requeued }
-        orders.requeueSent(requeued)
+        commandPlanner.requeueSent(requeued)
         link.transact(guards.toList(), writes.values.toList()) { result ->
             open -= jobs.toSet()
             openTeams -= teams
             reserve(group, -1.0)
             when (result) {
                 is TransactionResult.Committed -> Unit
-                TransactionResult.Unknown -> orders.requeueUnknown(requeued)
-                else -> orders.requeueFailed(requeued)
+                TransactionResult.Unknown -> commandPlanner.requeueUnknown(requeued)
+                else -> commandPlanner.requeueFailed(requeued)
             }
             when (result) {
                 is TransactionResult.Committed -> {
@@ -355,14 +269,15 @@
 
     /** Placements of teams with a limit bump the team's reservation, whose guard makes the sum they were judged by current. */
     private fun reserveTeams(
-        group: List<Part>,
+        group: List<TransactionPart>,
         guards: MutableSet<Guard>,
         writes: MutableMap<String, Write>,
     ): Set<String> {
         val teams = HashSet<String>()
         for (part in group) {
+            val team = part.team ?: continue
             val spec = replica.job(part.job)?.spec ?: continue
-            if (part.reservedTeam() == null || !teams.add(spec.team)) continue
+            if (!teams.add(team)) continue
             val key = Keys.team(spec.team)
             guards += Guard(key, replica.version(key))
             val used = replica.usedBy(spec.team) + spec.demand
@@ -372,18 +287,18 @@
         return teams
     }
 
-    private fun tooLarge(group: List<Part>) {
+    private fun tooLarge(group: List<TransactionPart>) {
         group.forEach { it.dropped() }
         if (group.size > 1) {
-            aloneUntilUs = kernel.now + ALONE
+            aloneUntilUs = context.now + ALONE
         } else {
-            setAside.values.removeIf { it < kernel.now }
-            group.forEach { setAside[it.job] = kernel.now + SET_ASIDE }
+            setAside.values.removeIf { it < context.now }
+            group.forEach { setAside[it.job] = context.now + SET_ASIDE }
         }
     }
 
     private fun conflict(
-        group: List<Part>,
+        group: List<TransactionPart>,
         result: TransactionResult.Conflict,
     ) {
         LOG.debug("conflict keys={} revision={}", result.failed, result.revision)
@@ -403,7 +318,5 @@
         private const val LONGEST_HOLD: Micros = 2 * SECOND
         private const val ALONE: Micros = 30 * SECOND
         private const val SET_ASIDE: Micros = 10 * SECOND
-        private const val MAX_BYTES = 40 * 1024
-        private const val WRITE_OVERHEAD = 40
     }
 }
--- a/src/main/kotlin/mintpick/engine/Orders.kt
+++ b/src/main/kotlin/mintpick/engine/CommandPlanner.kt
@@ -14,14 +14,14 @@
 import mintpick.wire.Verb
 
 /** Works out the commands that bring a machine in line with the records. */
-class Orders(
-    private val kernel: Kernel,
-    private val standing: Standing,
+class CommandPlanner(
+    private val context: EngineContext,
+    private val health: ControllerHealth,
 ) {
     /** Attempts to be stopped although their jobs go on: preempted, or on a machine that is to be emptied. */
     val stopping = HashMap<AttemptId, String>()
 
-    private val replica get() = kernel.replica
+    private val replica get() = context.replica
 
     /** Only tasks of cancelled jobs are stopped until the records are at least as new as our [claim]. */
     fun commandsFor(
@@ -57,7 +57,7 @@
         claim: Claim,
     ): List<Command> {
         val commands = commandsFor(view, claim)
-        return if (standing.mayStartTasks()) commands else commands.filter { it.verb != Verb.START }
+        return if (health.mayStartTasks()) commands else commands.filter { it.verb != Verb.START }
     }
 
     /** What may be stopped whoever commands the machine: tasks of cancelled jobs. */
@@ -66,7 +66,7 @@
             .filter { (attempt, task) -> task.state != TaskState.EXITED && isCancelled(attempt.task.job) }
             .map { (attempt, _) -> command(Verb.STOP, attempt, 0) }
 
-    private fun isCancelled(job: JobId): Boolean = replica.job(job)?.stage == StoredStage.CANCELLED || standing.cancelledElsewhere(job)
+    private fun isCancelled(job: JobId): Boolean = replica.job(job)?.stage == StoredStage.CANCELLED || health.cancelledElsewhere(job)
 
     private fun mayStart(
         view: MachineView,
@@ -74,7 +74,7 @@
         attempt: AttemptId,
     ): Boolean {
         val job = replica.job(attempt.task.job) ?: return false
-        return job.stage == StoredStage.OPEN && !standing.cancelledElsewhere(job.id) && attempt !in stopping && !isEmptying(view, claim)
+        return job.stage == StoredStage.OPEN && !health.cancelledElsewhere(job.id) && attempt !in stopping && !isEmptying(view, claim)
     }
 
     private fun retiring(view: MachineView): Retiring = replica.machines[view.id]?.record?.retiring ?: Retiring.NO
@@ -99,11 +99,11 @@
         isWanted: Boolean,
     ): Command? {
         val job = replica.job(attempt.task.job)
-        val goesOn = isWanted && job?.stage == StoredStage.OPEN && !standing.cancelledElsewhere(job.id)
+        val goesOn = isWanted && job?.stage == StoredStage.OPEN && !health.cancelledElsewhere(job.id)
         if (job == null || !goesOn) return command(Verb.STOP, attempt, 0)
         val leaves = attempt in stopping || leavesWithMachine(view, claim, job.spec.isService, job.spec.estimateS)
         if (!leaves || task.state == TaskState.SAVING) return null
-        val left = view.noticeEndsUs?.let { (it - kernel.now) / SECOND / 2 } ?: MAX_GRACE_S
+        val left = view.noticeEndsUs?.let { (it - context.now) / SECOND / 2 } ?: MAX_GRACE_S
         return command(Verb.STOP, attempt, if (left >= job.spec.saveS) left.toInt() else 0)
     }
 
--- a/src/main/kotlin/mintpick/engine/Standing.kt
+++ b/src/main/kotlin/mintpick/engine/ControllerHealth.kt
@@ -9,8 +9,8 @@
 import mintpick.wire.PeerHint
 
 /** Whether this controller should act, judged from its own contact with the state service and its peers' hints. */
-class Standing(
-    private val kernel: Kernel,
+class ControllerHealth(
+    private val context: EngineContext,
     private val link: StateLink,
 ) {
     private class Heard(
@@ -51,7 +51,7 @@
     ) {
         val before = contacts[node]
         // By now it has read this one; if that is soon after the one before left, it has heard us all the time.
-        val unbroken = before != null && kernel.now - before.lastUs < FRESH - HINT_DRIFT
+        val unbroken = before != null && context.now - before.lastUs < FRESH - HINT_DRIFT
         contacts[node] = Contact(if (before != null && unbroken) before.sinceUs else sentUs, sentUs)
     }
 
@@ -59,9 +59,9 @@
     fun tick() {
         forgetCancelledElsewhere()
         if (!healthy()) return absentSince.clear()
-        for (peer in kernel.settings.peers) {
+        for (peer in context.settings.peers) {
             val node = NodeId(peer.node)
-            if (node in kernel.replica.nodes) absentSince.remove(node) else absentSince.putIfAbsent(node, kernel.now)
+            if (node in context.replica.nodes) absentSince.remove(node) else absentSince.putIfAbsent(node, context.now)
         }
     }
 
@@ -72,7 +72,7 @@
     }
 
     /** Whether another controller that we hear has found that [job] fails wherever it runs. */
-    fun isFaultyElsewhere(job: JobId): Boolean = peers.values.any { job.text in it.faultyJobs && kernel.now - it.atUs < FRESH }
+    fun isFaultyElsewhere(job: JobId): Boolean = peers.values.any { job.text in it.faultyJobs && context.now - it.atUs < FRESH }
 
     /** Whether another controller has told us of a cancellation of [job] that our records may not show yet. */
     fun cancelledElsewhere(job: JobId): Boolean = job in cancelledElsewhere
@@ -95,30 +95,30 @@
      * load the records yet, may have confirmed any.
      */
     private fun cancellationsKnownUs(): Micros {
-        val told = kernel.settings.peers.minOfOrNull { cancellationsKnownFrom[NodeId(it.node)] ?: 0 } ?: kernel.now
+        val told = context.settings.peers.minOfOrNull { cancellationsKnownFrom[NodeId(it.node)] ?: 0 } ?: context.now
         return maxOf(link.recordsKnownUs ?: 0, told)
     }
 
     /** Whether a task may still be started: not when its cancellation may have been confirmed for longer than a moment. */
-    fun mayStartTasks(): Boolean = kernel.now - cancellationsKnownUs() < HAND_OVER_AGE
+    fun mayStartTasks(): Boolean = context.now - cancellationsKnownUs() < HAND_OVER_AGE
 
     fun onHint(hint: PeerHint) {
-        if (kernel.settings.peers.none { it.node == hint.node }) return
-        hint.cancelled.forEach { cancelledElsewhere[JobId(it)] = kernel.now }
+        if (context.settings.peers.none { it.node == hint.node }) return
+        hint.cancelled.forEach { cancelledElsewhere[JobId(it)] = context.now }
         val node = NodeId(hint.node)
         val before = peers[node]
-        val since = if (before != null && kernel.now - before.atUs < FRESH) before.sinceUs else kernel.now
+        val since = if (before != null && context.now - before.atUs < FRESH) before.sinceUs else context.now
         peers[node] =
             if (hint.listsMachines || before == null) {
                 Heard(
-                    kernel.now,
+                    context.now,
                     since,
                     hint,
-                    hint.machines.associate { it.machine to kernel.now - it.ageUs },
+                    hint.machines.associate { it.machine to context.now - it.ageUs },
                     hint.machines.associate { it.machine to hint.imagesOn(it) },
                 )
             } else {
-                Heard(kernel.now, since, hint, before.machines, before.images)
+                Heard(context.now, since, hint, before.machines, before.images)
             }
     }
 
@@ -126,22 +126,28 @@
     fun hintedImages(within: Micros): Map<MachineId, Set<String>> {
         val hinted = HashMap<MachineId, Set<String>>()
         for (heard in peers.values) {
-            if (kernel.now - heard.atUs >= FRESH) continue
-            for ((machine, at) in heard.machines) if (kernel.now - at < within) hinted[MachineId(machine)] = heard.images[machine].orEmpty()
+            if (context.now - heard.atUs >= FRESH) continue
+            for ((machine, at) in heard.machines) {
+                if (context.now - at <
+                    within
+                ) {
+                    hinted[MachineId(machine)] = heard.images[machine].orEmpty()
+                }
+            }
         }
         return hinted
     }
 
-    private val stateAgeUs: Micros get() = link.lastServedUs?.let { kernel.now - it } ?: Long.MAX_VALUE
+    private val stateAgeUs: Micros get() = link.lastServedUs?.let { context.now - it } ?: Long.MAX_VALUE
 
     /** Whether [node] could not place what waits there: it says so, or says nothing. */
     fun lacksRoom(node: NodeId): Boolean = !hears(node) || peers[node]?.hint?.lacksRoom == true
 
     /** Whether [node] has spoken to us lately. */
-    fun hears(node: NodeId): Boolean = peers[node]?.let { kernel.now - it.atUs < FRESH } ?: false
+    fun hears(node: NodeId): Boolean = peers[node]?.let { context.now - it.atUs < FRESH } ?: false
 
     /** Whether every other controller has spoken to us after [since]. */
-    fun heardAllSince(since: Micros): Boolean = kernel.settings.peers.all { heardSince(it.node, since) }
+    fun heardAllSince(since: Micros): Boolean = context.settings.peers.all { heardSince(it.node, since) }
 
     private fun heardSince(
         node: String,
@@ -165,23 +171,23 @@
     fun openSince(zone: String?): Micros? {
         val witnesses = witnesses(zone)
         if (witnesses.isEmpty()) return 0
-        return witnesses.mapNotNull { peers[NodeId(it.node)] }.filter { kernel.now - it.atUs < FRESH }.minOfOrNull { it.sinceUs }
+        return witnesses.mapNotNull { peers[NodeId(it.node)] }.filter { context.now - it.atUs < FRESH }.minOfOrNull { it.sinceUs }
     }
 
     private fun witnesses(zone: String?): List<Peer> {
-        val there = kernel.settings.peers.filter { it.zone == zone }
-        return if (zone == kernel.settings.zone || there.isEmpty()) kernel.settings.peers else there
+        val there = context.settings.peers.filter { it.zone == zone }
+        return if (zone == context.settings.zone || there.isEmpty()) context.settings.peers else there
     }
 
     /** Whether [machine] reports to some other controller, as far as hints tell; [to] narrows it to one. */
     fun heardElsewhere(
         machine: MachineId,
         to: NodeId? = null,
-        within: Micros = kernel.settings.reportUs + HEARD,
+        within: Micros = context.settings.reportUs + HEARD,
     ): Boolean =
         peers.any { (node, heard) ->
             val at = heard.machines[machine.text]
-            (to == null || to == node) && at != null && kernel.now - at < within
+            (to == null || to == node) && at != null && context.now - at < within
         }
 
     /** The state service serves us and our lease holds. */
@@ -189,7 +195,7 @@
 
     /** Some peer is served while we are not. */
     fun peersServed(): Boolean =
-        peers.values.any { kernel.now - it.atUs < FRESH && it.hint.stateAgeUs in 0..SERVED_AGE && it.atUs > (link.lastServedUs ?: 0) }
+        peers.values.any { context.now - it.atUs < FRESH && it.hint.stateAgeUs in 0..SERVED_AGE && it.atUs > (link.lastServedUs ?: 0) }
 
     /**
      * Cut off from the state service we keep our workers, unless a peer could serve them, or a cancellation that we do
@@ -197,12 +203,12 @@
      * the leases end.
      */
     fun mayAnswerWorkers(): Boolean {
-        if (kernel.now - cancellationsKnownUs() >= blindUs) return false
+        if (context.now - cancellationsKnownUs() >= blindUs) return false
         return stateAgeUs < HAND_OVER_AGE || !peersServed()
     }
 
     /** For how long leases may be renewed without news of cancellations: see [mayAnswerWorkers]. */
-    private val blindUs: Micros = kernel.settings.cancelUs - kernel.settings.leaseUs - CANCEL_MARGIN
+    private val blindUs: Micros = context.settings.cancelUs - context.settings.leaseUs - CANCEL_MARGIN
 
     /**
      * Whether we may answer workers of our zone for [owner]: in a cut of the zone all that [owner] commands there would
@@ -211,7 +217,7 @@
      */
     fun mayStandInFor(owner: NodeId): Boolean {
         if (stateAgeUs < HAND_OVER_AGE || hears(owner) || peersServed()) return false
-        return kernel.now - (link.recordsKnownUs ?: return false) < blindUs
+        return context.now - (link.recordsKnownUs ?: return false) < blindUs
     }
 
     /**
@@ -220,12 +226,12 @@
      */
     fun standInUntil(zone: String?): Micros? {
         var until: Micros = 0
-        for (peer in kernel.settings.peers) {
+        for (peer in context.settings.peers) {
             if (peer.zone != zone) continue
             val node = NodeId(peer.node)
             val contact = contacts[node]
             val last =
-                if (contact != null && kernel.now - contact.lastUs < FRESH - HINT_DRIFT) {
+                if (contact != null && context.now - contact.lastUs < FRESH - HINT_DRIFT) {
                     contact.sinceUs
                 } else {
                     (absentSince[node] ?: return null) + blindUs
@@ -236,7 +242,7 @@
     }
 
     /** For how long a controller in [zone] other than us may stand in for us at most. */
-    fun standInSpan(zone: String?): Micros = if (kernel.settings.peers.any { it.zone == zone }) blindUs else 0
+    fun standInSpan(zone: String?): Micros = if (context.settings.peers.any { it.zone == zone }) blindUs else 0
 
     /** What `/up` says: not in a shared outage, where no other controller would do better. */
     fun up(): Boolean = link.serving && (stateAgeUs < DOWN_AGE || !peersServed())
--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -30,24 +30,25 @@
     operators: Operators,
     random: RandomGenerator,
 ) {
-    private val kernel = Kernel(settings, random)
-    private val formats = FormatGate(kernel)
-    private val link = StateLink(kernel, formats)
-    private val ownership = Ownership(kernel, link)
-    private val standing = Standing(kernel, link)
-    private val orders = Orders(kernel, standing)
-    private val fleet = Fleet(kernel, link, ownership, standing, orders)
-    private val observer = Observer(kernel, ownership, fleet, orders)
-    private val accounting = Accounting(kernel, link, ownership, operators, formats)
-    private val preemptor = Preemptor(kernel, ownership, fleet, orders, accounting, operators)
-    private val scheduling = Scheduling(kernel, ownership, fleet, orders, observer, accounting, standing, preemptor, operators)
-    private val capacity = Capacity(kernel, link, ownership, fleet, observer, standing, formats)
-    private val roster = Roster(kernel, link, ownership, fleet, observer, formats)
-    private val supply = Supply(kernel, link, ownership, fleet, observer, capacity, roster, orders, scheduling, standing, operators)
-    private val desk = Desk(kernel, link, formats)
-    private val changes = Changes(kernel, link, ownership, desk, orders, formats)
-    private val caretaker = Caretaker(kernel, link, ownership, fleet, standing, roster, orders, scheduling)
-    private val sweeper = RecordSweeper(kernel, link, ownership, desk)
+    private val context = EngineContext(settings, random)
+    private val formats = FormatGate(context)
+    private val link = StateLink(context, formats)
+    private val ownership = Ownership(context, link)
+    private val health = ControllerHealth(context, link)
+    private val commandPlanner = CommandPlanner(context, health)
+    private val fleet = Fleet(context, link, ownership, health, commandPlanner)
+    private val observer = Observer(context, ownership, fleet, commandPlanner)
+    private val accounting = Accounting(context, link, ownership, operators, formats)
+    private val preemptor = Preemptor(context, ownership, fleet, commandPlanner, accounting, operators)
+    private val scheduling = Scheduling(context, ownership, fleet, commandPlanner, observer, accounting, health, preemptor, operators)
+    private val capacity = Capacity(context, link, ownership, fleet, observer, health, formats)
+    private val machineRegistry = MachineRegistry(context, link, ownership, fleet, observer, formats)
+    private val supply =
+        Supply(context, link, ownership, fleet, observer, capacity, machineRegistry, commandPlanner, scheduling, health, operators)
+    private val userRequests = UserRequests(context, link, formats)
+    private val changes = Changes(context, link, ownership, userRequests, commandPlanner, formats)
+    private val machineMonitor = MachineMonitor(context, link, ownership, fleet, health, machineRegistry, commandPlanner, scheduling)
+    private val sweeper = RecordSweeper(context, link, ownership, userRequests)
     private var nextHintUs: Micros = 0
     private var nextPlanUs: Micros = 0
     private var hints = 0
@@ -56,40 +57,40 @@
 
     init {
         ownership.reaches = { !fleet.isCutOff }
-        ownership.calm = { standing.heardAllSince(kernel.now - CALM) }
+        ownership.calm = { health.heardAllSince(context.now - CALM) }
     }
 
     /** What `/up` says as of the last step. */
-    val isUp: Boolean get() = standing.up()
+    val isUp: Boolean get() = health.up()
 
     fun step(
         now: Micros,
         wall: Micros,
         events: List<Event>,
     ): List<Effect> {
-        kernel.begin(now, wall)
+        context.begin(now, wall)
         noticeStandstill()
         events.forEach(::handleAlone)
         link.tick()
         formats.tick()
-        standing.tick()
+        health.tick()
         ownership.tick()
         fleet.watchControl()
         accounting.tick()
         capacity.tick()
         supply.tick()
-        caretaker.tick()
-        roster.tick()
+        machineMonitor.tick()
+        machineRegistry.tick()
         sweeper.tick()
-        val touched = kernel.replica.touched.toSet()
-        kernel.replica.touched.clear()
+        val touched = context.replica.touched.toSet()
+        context.replica.touched.clear()
         fleet.tick(touched)
         preemptor.tick(touched)
         observer.look(touched + fleet.takeHeard())
         plan()
-        desk.tick()
+        userRequests.tick()
         hint()
-        return kernel.takeEffects()
+        return context.takeEffects()
     }
 
     /**
@@ -97,9 +98,9 @@
      * up before the first event is looked at.
      */
     private fun noticeStandstill() {
-        val pause = kernel.now - lastStepUs
+        val pause = context.now - lastStepUs
         val stoodStill = lastStepUs != 0L && pause > STANDSTILL
-        lastStepUs = kernel.now
+        lastStepUs = context.now
         if (!stoodStill) return
         LOG.warn("stood still for_ms={}", pause / MILLI)
         link.stoodStill()
@@ -117,25 +118,25 @@
 
     private fun handle(event: Event) {
         when (event) {
-            is Event.Submit -> desk.submit(event.spec, event.reply)
-            is Event.Malformed -> desk.malformed(event.id, event.reason, event.reply)
-            is Event.Poll -> desk.poll(event.id, event.reply)
-            is Event.Cancel -> desk.cancel(event.id, event.reply)
+            is Event.Submit -> userRequests.submit(event.spec, event.reply)
+            is Event.Malformed -> userRequests.malformed(event.id, event.reason, event.reply)
+            is Event.Poll -> userRequests.poll(event.id, event.reply)
+            is Event.Cancel -> userRequests.cancel(event.id, event.reply)
             is Event.Report -> fleet.onReport(event.report, event.reply)
             is Event.Hint -> {
-                standing.onHint(event.hint)
-                kernel.send(
+                health.onHint(event.hint)
+                context.send(
                     event.reply,
                     Answer(OK, MeshProtobuf.encodeToByteArray(PeerHint.serializer(), ownHint(withMachines = false)), null, PROTOBUF),
                 )
             }
-            is Event.Inspect -> kernel.send(event.reply, Answer.json(OK, WireJson.encodeToString(NodeStatus.serializer(), status())))
-            is Event.CallDone -> kernel.callDone(event.id, event.outcome)
+            is Event.Inspect -> context.send(event.reply, Answer.json(OK, WireJson.encodeToString(NodeStatus.serializer(), status())))
+            is Event.CallDone -> context.callDone(event.id, event.outcome)
         }
     }
 
     private fun status(): NodeStatus {
-        val replica = kernel.replica
+        val replica = context.replica
         return NodeStatus(
             node = settings.node,
             phase = link.phase.name.lowercase(),
@@ -154,8 +155,8 @@
             jobs = replica.jobs.size,
             waitingTasks = replica.jobs.sumOf { it.waiting },
             placedTasks = replica.jobs.sumOf { it.placed },
-            pendingSubmissions = desk.submissions.size,
-            pendingCancellations = desk.cancellations.size,
+            pendingSubmissions = userRequests.submissions.size,
+            pendingCancellations = userRequests.cancellations.size,
             revision = replica.revision,
             use = settings.teams.associate { it.name to accounting.use(it.name) },
             stateLatencyMs = link.latencyMs(),
@@ -179,18 +180,18 @@
 
     /** Gathers what came within a moment into few writes. */
     private fun plan() {
-        if (kernel.now < nextPlanUs || !changes.hasRoom) return
-        nextPlanUs = kernel.now + PLAN_EVERY
-        val drafts = LinkedHashMap<JobId, Draft>()
-        val draftOf: (JobId) -> Draft? = { id ->
-            drafts[id] ?: kernel.replica
+        if (context.now < nextPlanUs || !changes.hasRoom) return
+        nextPlanUs = context.now + PLAN_EVERY
+        val drafts = LinkedHashMap<JobId, JobChange>()
+        val draftOf: (JobId) -> JobChange? = { id ->
+            drafts[id] ?: context.replica
                 .job(id)
                 ?.takeIf { changes.isFree(id) }
-                ?.let { job -> Draft(job, changes.limits).also(observer::apply) }
+                ?.let { job -> JobChange(job, changes.limits).also(observer::apply) }
                 ?.also { drafts[id] = it }
         }
-        for ((id, pending) in desk.cancellations) {
-            if (pending.taken || kernel.replica.job(id)?.stage != StoredStage.OPEN) continue
+        for ((id, pending) in userRequests.cancellations) {
+            if (pending.taken || context.replica.job(id)?.stage != StoredStage.OPEN) continue
             draftOf(id)?.cancel()
         }
         observer.due().forEach { draftOf(it) }
@@ -203,28 +204,28 @@
      * Jobs withdrawn with one that they need get final records of their own, so that they are not kept open for ever: only
      * housekeeping, which waits until nothing else needs the writes, since what they are follows from other records anyway.
      */
-    private fun closeWithdrawn(draftOf: (JobId) -> Draft?) {
+    private fun closeWithdrawn(draftOf: (JobId) -> JobChange?) {
         val writes = changes.budget() - SPARE_WRITES
         if (writes <= 0) return
-        val mine = kernel.replica.withdrawnJobs().filter { ownership.home(it.id) == kernel.me }
+        val mine = context.replica.withdrawnJobs().filter { ownership.home(it.id) == context.me }
         mine.take(minOf(writes, MOST_CLOSED)).toList().forEach { draftOf(it.id)?.close() }
     }
 
     /** Tells the other controllers how we stand. */
     private fun hint() {
         // That we lack room is told at once: a job that another could place waits for it.
-        val news = scheduling.lacksRoom && !toldLack && kernel.now >= nextHintUs - HINT_EVERY + HINT_LEAST
-        if (kernel.now < nextHintUs && !news) return
-        nextHintUs = kernel.now + HINT_EVERY
+        val news = scheduling.lacksRoom && !toldLack && context.now >= nextHintUs - HINT_EVERY + HINT_LEAST
+        if (context.now < nextHintUs && !news) return
+        nextHintUs = context.now + HINT_EVERY
         toldLack = scheduling.lacksRoom
         val body = MeshProtobuf.encodeToByteArray(PeerHint.serializer(), ownHint(withMachines = hints++ % 2 == 0))
         for (peer in settings.peers) {
             val call = Call(Target.Peer(peer.address.toString()), "POST", "/hint", body, HINT_TIMEOUT, PROTOBUF)
-            val sent = kernel.now
-            kernel.call(call) { outcome ->
+            val sent = context.now
+            context.call(call) { outcome ->
                 if (outcome is mintpick.net.Outcome.Answered && outcome.status == OK) {
-                    standing.answeredBy(NodeId(peer.node), sent)
-                    decodeHint(outcome.body)?.let { standing.onAnsweredHint(it, sent) }
+                    health.answeredBy(NodeId(peer.node), sent)
+                    decodeHint(outcome.body)?.let { health.onAnsweredHint(it, sent) }
                 }
             }
         }
@@ -236,20 +237,20 @@
         val machines =
             if (withMachines) {
                 heardMachines().map { view ->
-                    MachineHint(view.id.text, kernel.now - view.reportedUs, view.imageNames.map { images.getOrPut(it) { images.size } })
+                    MachineHint(view.id.text, context.now - view.reportedUs, view.imageNames.map { images.getOrPut(it) { images.size } })
                 }
             } else {
                 emptyList()
             }
         return PeerHint(
             settings.node,
-            link.lastServedUs?.takeIf { link.serving }?.let { kernel.now - it } ?: -1,
+            link.lastServedUs?.takeIf { link.serving }?.let { context.now - it } ?: -1,
             machines,
-            kernel.replica.revision,
+            context.replica.revision,
             withMachines,
             scheduling.lacksRoom,
             images.keys.toList(),
-            kernel.replica.cancelledJobs(),
+            context.replica.cancelledJobs(),
             cancelledIsComplete = link.hasLoaded,
             faultyJobs = observer.failures.faultyJobs().map { it.text },
         )
@@ -258,10 +259,10 @@
     private fun heardMachines(): List<MachineView> =
         fleet.views().filter { view ->
             view.latest != null &&
-                kernel.now - view.reportedUs < settings.reportUs * 2 &&
+                context.now - view.reportedUs < settings.reportUs * 2 &&
                 !observer.failures.isFaulty(view.id) &&
                 !fleet.isUnreachable(view.id) &&
-                !orders.isEmptying(view, ownership.control(view.id))
+                !commandPlanner.isEmptying(view, ownership.control(view.id))
         }
 
     companion object {
--- a/src/main/kotlin/mintpick/engine/Kernel.kt
+++ b/src/main/kotlin/mintpick/engine/EngineContext.kt
@@ -9,7 +9,7 @@
 import java.util.random.RandomGenerator
 
 /** What all parts of the engine share: settings, the clock of the current step, and the way to the outside. */
-class Kernel(
+class EngineContext(
     val settings: Settings,
     val random: RandomGenerator,
 ) {
--- a/src/main/kotlin/mintpick/engine/Fleet.kt
+++ b/src/main/kotlin/mintpick/engine/Fleet.kt
@@ -21,11 +21,11 @@
 
 /** The machines as their workers show them: takes reports, sends commands, and knows who is in touch. */
 class Fleet(
-    private val kernel: Kernel,
+    private val context: EngineContext,
     private val link: StateLink,
     private val ownership: Ownership,
-    private val standing: Standing,
-    private val orders: Orders,
+    private val health: ControllerHealth,
+    private val commandPlanner: CommandPlanner,
 ) {
     private class Redirects(
         var first: Micros,
@@ -63,7 +63,7 @@
     private var epochSeen = -1L
     private var nextTickUs: Micros = 0
 
-    private val replica get() = kernel.replica
+    private val replica get() = context.replica
 
     fun view(machine: MachineId): MachineView? = views[machine]
 
@@ -87,7 +87,7 @@
     }
 
     /** Heard lately enough to be given work. */
-    fun isFresh(view: MachineView): Boolean = kernel.now - view.heardUs < kernel.settings.reportUs * 5 / 4 + FRESH_MARGIN
+    fun isFresh(view: MachineView): Boolean = context.now - view.heardUs < context.settings.reportUs * 5 / 4 + FRESH_MARGIN
 
     /**
      * Its worker has shown the token that is ours now, so what it says is newer than our claim. Reports alone
@@ -107,10 +107,10 @@
      */
     private fun isSuspect(machine: MachineId): Boolean {
         val view = views[machine]?.takeIf { it.latest != null } ?: return true
-        return isUnreachable(machine) || kernel.now - view.heardUs > kernel.settings.reportUs * 5 / 4 + LATE
+        return isUnreachable(machine) || context.now - view.heardUs > context.settings.reportUs * 5 / 4 + LATE
     }
 
-    private fun isReportLate(view: MachineView): Boolean = kernel.now - view.reportedUs > kernel.settings.reportUs * 5 / 4 + LATE
+    private fun isReportLate(view: MachineView): Boolean = context.now - view.reportedUs > context.settings.reportUs * 5 / 4 + LATE
 
     /**
      * When a call of ours last got through to a machine in [zone], or a report from there to us: with few machines a wave
@@ -123,12 +123,12 @@
      * controller takes nothing from those that are not.
      */
     val isCutOff: Boolean
-        get() = failures.size >= CUT_OFF && kernel.now - (reachedUs.values.maxOrNull() ?: 0) > NONE_REACHED
+        get() = failures.size >= CUT_OFF && context.now - (reachedUs.values.maxOrNull() ?: 0) > NONE_REACHED
 
     /** The process stood still: calls that failed meanwhile, and silences, say nothing of the machines. */
     fun stoodStill() {
         failures.clear()
-        stoodStillUs = kernel.now
+        stoodStillUs = context.now
     }
 
     private var stoodStillUs: Micros = 0
@@ -143,18 +143,18 @@
         reply: ReplyTo,
     ) {
         val id = MachineId(report.machine)
-        if (id in buried) return kernel.send(reply, misdirected(null))
+        if (id in buried) return context.send(reply, misdirected(null))
         ownership.meet(id, report.zone)
-        val view = views.getOrPut(id) { MachineView(id, kernel.now) }
+        val view = views.getOrPut(id) { MachineView(id, context.now) }
         val awaited = view.awaits(report)
-        val fresh = view.take(report, kernel.now, direct = false)
+        val fresh = view.take(report, context.now, direct = false)
         if (fresh) learn(view, report)
         // In a cut from the workers neither calls nor reports get through.
-        if (awaited) reachedUs[report.zone] = kernel.now
+        if (awaited) reachedUs[report.zone] = context.now
         if (awaited && isUnserved(id)) {
             adopt(view, report, reply)
         } else {
-            kernel.send(reply, answer(id, view, report, awaited && fresh, awaited))
+            context.send(reply, answer(id, view, report, awaited && fresh, awaited))
         }
     }
 
@@ -171,16 +171,16 @@
         val id = view.id
         val shard = ownership.shard(id)
         val from = ownership.control(id)?.node
-        if (shard == null || from == null) return kernel.send(reply, misdirected(null))
+        if (shard == null || from == null) return context.send(reply, misdirected(null))
         val peers = unservedIn.getOrPut(shard) { HashMap() }
-        peers[id] = kernel.now
-        peers.values.removeIf { kernel.now - it > UNSERVED_MEMORY }
+        peers[id] = context.now
+        peers.values.removeIf { context.now - it > UNSERVED_MEMORY }
         inspect(view) { ok ->
-            val whole = peers.size >= WHOLE_SHARD || !standing.hears(from)
+            val whole = peers.size >= WHOLE_SHARD || !health.hears(from)
             if (ok) {
-                ownership.adopt(id, whole, from, "unserved") { kernel.send(reply, answer(id, view, report, view.latest === report, true)) }
+                ownership.adopt(id, whole, from, "unserved") { context.send(reply, answer(id, view, report, view.latest === report, true)) }
             } else {
-                kernel.send(reply, answer(id, view, report, fresh = false, awaited = true))
+                context.send(reply, answer(id, view, report, fresh = false, awaited = true))
             }
         }
     }
@@ -194,19 +194,26 @@
     ): Answer {
         val claim = ownership.control(id)
         if (!link.hasLoaded || claim == null) return errorAnswer(UNAVAILABLE, "not ready")
-        if (claim.node != kernel.me) return if (awaited) standIn(view, report, claim) ?: redirect(claim) else redirect(claim)
+        if (claim.node != context.me) return if (awaited) standIn(view, report, claim) ?: redirect(claim) else redirect(claim)
         if (claim.version < report.token) {
             // Either a borrowing has ended, or we have been deposed and do not know it yet.
             ownership.raise(id, "seen-higher")
             return misdirected(null)
         }
-        if (!standing.mayAnswerWorkers()) return misdirected(null)
+        if (!health.mayAnswerWorkers()) return misdirected(null)
         redirects.remove(id)
         // Our earlier process may have left starts under way that only the next token ends, so nothing else is said till then.
-        val commands = if (fresh && ownership.isMine(claim)) orders.answerFor(view, claim) else orders.stopsOfCancelled(view)
-        if (fresh) view.answeredWith(Orders.starts(commands))
+        val commands =
+            if (fresh &&
+                ownership.isMine(claim)
+            ) {
+                commandPlanner.answerFor(view, claim)
+            } else {
+                commandPlanner.stopsOfCancelled(view)
+            }
+        if (fresh) view.answeredWith(CommandPlanner.starts(commands))
         // A copy is answered to nobody: only a report that its worker may still wait for renews the lease.
-        if (awaited) view.answeredReport(kernel.now)
+        if (awaited) view.answeredReport(context.now)
         return answer(claim, commands)
     }
 
@@ -224,8 +231,8 @@
      * users, health checks, other controllers and our own calls always find one.
      */
     private fun isCrowded(): Boolean {
-        val keep = kernel.settings.resources.maxConnections * 2 / 5
-        return keep in 1 until mineSince.size && kernel.random.nextInt(mineSince.size) >= keep
+        val keep = context.settings.resources.maxConnections * 2 / 5
+        return keep in 1 until mineSince.size && context.random.nextInt(mineSince.size) >= keep
     }
 
     /**
@@ -237,9 +244,9 @@
         report: MachineReport,
         claim: Claim,
     ): Answer? {
-        if (report.zone != kernel.settings.zone || claim.version < report.token || !standing.mayStandInFor(claim.node)) return null
-        view.answeredReport(kernel.now)
-        return answer(claim, orders.stopsOfCancelled(view))
+        if (report.zone != context.settings.zone || claim.version < report.token || !health.mayStandInFor(claim.node)) return null
+        view.answeredReport(context.now)
+        return answer(claim, commandPlanner.stopsOfCancelled(view))
     }
 
     private fun misdirected(node: String?): Answer =
@@ -250,20 +257,20 @@
     /** A worker that keeps coming although it was sent to its controller, or whose controller is silent to us too. */
     private fun isUnserved(id: MachineId): Boolean {
         val claim = ownership.control(id)
-        if (!standing.healthy() || claim == null || claim.node == kernel.me || !ownership.isLive(claim.node)) return false
-        val seen = redirects.getOrPut(id) { Redirects(kernel.now, kernel.now, 0) }
-        if (kernel.now - seen.last > REDIRECT_MEMORY) {
-            seen.first = kernel.now
+        if (!health.healthy() || claim == null || claim.node == context.me || !ownership.isLive(claim.node)) return false
+        val seen = redirects.getOrPut(id) { Redirects(context.now, context.now, 0) }
+        if (context.now - seen.last > REDIRECT_MEMORY) {
+            seen.first = context.now
             seen.count = 0
         }
-        seen.last = kernel.now
+        seen.last = context.now
         seen.count++
         // Whoever has just claimed it is alive to the state service, though we may not hear them: they are tried first.
         // While controllers refused each other's connections, shards once went back and forth until leases lapsed.
         val settled = ownership.isSettled(id)
         val unserved =
-            (settled && !standing.hears(claim.node)) ||
-                (seen.count >= REDIRECTS && kernel.now - seen.first > REDIRECT_SPAN && !standing.heardElsewhere(id, claim.node))
+            (settled && !health.hears(claim.node)) ||
+                (seen.count >= REDIRECTS && context.now - seen.first > REDIRECT_SPAN && !health.heardElsewhere(id, claim.node))
         if (unserved) seen.count = 0
         return unserved
     }
@@ -278,7 +285,7 @@
             if (task.state == TaskState.FETCHING || task.state == TaskState.EXITED) continue
             val job = replica.job(attempt.task.job) ?: continue
             if (LOG.isDebugEnabled && running.add(attempt)) {
-                val waited = (kernel.wall - job.submittedUs) / MILLI
+                val waited = (context.wall - job.submittedUs) / MILLI
                 LOG.debug("running task={} attempt={} machine={} waited_ms={}", attempt.task, attempt.attempt, view.id.text, waited)
             }
             view.sawImage(job.spec.image, job.spec.imageGb, cache)
@@ -292,14 +299,14 @@
             return
         }
         val claim = ownership.control(machine) ?: return
-        if (!ownership.isMine(claim) || !standing.healthy() || machine in buried) return
-        val view = views.getOrPut(machine) { MachineView(machine, kernel.now) }
+        if (!ownership.isMine(claim) || !health.healthy() || machine in buried) return
+        val view = views.getOrPut(machine) { MachineView(machine, context.now) }
         val address = addressOf(view) ?: return
-        val commands = if (view.latest == null) emptyList() else orders.commandsFor(view, claim)
+        val commands = if (view.latest == null) emptyList() else commandPlanner.commandsFor(view, claim)
         // What is only to be forgotten can wait for the next report.
         if (commands.all { it.verb == Verb.FORGET } && view.latest != null && view.token >= claim.version) return
         if (!mayCall(machine)) return
-        val started = Orders.starts(commands)
+        val started = CommandPlanner.starts(commands)
         started.forEach { view.launching(it, claim.version, view.session) }
         val session = view.session
         call(machine, WorkerProtocol.commands(address, CommandBatch(claim.version, session, commands), isSuspect(machine))) { result ->
@@ -309,7 +316,7 @@
                 started.forEach(view::launchSettled)
             }
             val report = (result as? WorkerProtocol.Result.Executed)?.report ?: (result as? WorkerProtocol.Result.Dropped)?.report
-            if (report != null && view.take(report, kernel.now, direct = true)) learn(view, report)
+            if (report != null && view.take(report, context.now, direct = true)) learn(view, report)
             val rejected = result is WorkerProtocol.Result.Dropped && report != null && report.session != session
             if (again.remove(machine) || rejected) push(machine)
             report != null
@@ -321,12 +328,12 @@
     /** Calls to machines that do not answer are few at a time and further and further apart. */
     private fun mayCall(machine: MachineId): Boolean {
         if (isSuspect(machine) && suspectCalls >= mostSuspectCalls(machine)) return false
-        return kernel.now >= (failures[machine]?.nextUs ?: 0)
+        return context.now >= (failures[machine]?.nextUs ?: 0)
     }
 
     /** Beyond a cut a few calls are enough to see when it ends; the rest would only take time and sockets. */
     private fun mostSuspectCalls(machine: MachineId): Int =
-        if (standing.openSince(replica.machines[machine]?.record?.zone) == null) MAX_CALLS_BEYOND else MAX_SUSPECT_CALLS
+        if (health.openSince(replica.machines[machine]?.record?.zone) == null) MAX_CALLS_BEYOND else MAX_SUSPECT_CALLS
 
     private fun call(
         machine: MachineId,
@@ -336,16 +343,16 @@
         calls += machine
         val suspect = isSuspect(machine)
         if (suspect) suspectCalls++
-        kernel.call(call) { outcome ->
+        context.call(call) { outcome ->
             calls -= machine
             if (suspect) suspectCalls--
             if (then(WorkerProtocol.read(outcome))) {
                 failures.remove(machine)
-                replica.machines[machine]?.let { reachedUs[it.record.zone] = kernel.now }
+                replica.machines[machine]?.let { reachedUs[it.record.zone] = context.now }
             } else if (machine !in buried) {
-                val failing = failures.getOrPut(machine) { Failures(kernel.now, 0, 0) }
+                val failing = failures.getOrPut(machine) { Failures(context.now, 0, 0) }
                 failing.count++
-                failing.nextUs = kernel.now + minOf(RETRY_MOST, RETRY_LEAST * failing.count)
+                failing.nextUs = context.now + minOf(RETRY_MOST, RETRY_LEAST * failing.count)
             }
         }
     }
@@ -364,7 +371,7 @@
         if (address == null || view.id in calls) return then(false)
         call(view.id, WorkerProtocol.inspect(address, isSuspect(view.id))) { result ->
             val report = (result as? WorkerProtocol.Result.Executed)?.report
-            if (report != null && view.take(report, kernel.now, direct = true)) learn(view, report)
+            if (report != null && view.take(report, context.now, direct = true)) learn(view, report)
             then(report != null)
             // What a machine lacks goes with the answer to its next report; where none comes, it is sent now.
             if (again.remove(view.id) || (report != null && isReportLate(view))) push(view.id)
@@ -377,22 +384,26 @@
      * come under our control was reporting elsewhere until now.
      */
     fun silentSince(machine: MachineId): Micros =
-        maxOf(views[machine]?.heardUs ?: 0, mineSince[machine]?.sinceUs ?: kernel.now, stoodStillUs)
+        maxOf(views[machine]?.heardUs ?: 0, mineSince[machine]?.sinceUs ?: context.now, stoodStillUs)
 
     /** Ours since a moment ago, and not yet in touch with us or not yet fully known from the records. */
     fun isSettling(machine: MachineId): Boolean {
         val claim = ownership.control(machine) ?: return false
-        if (kernel.now - (mineSince[machine]?.sinceUs ?: kernel.now) > SETTLING) return false
+        if (context.now - (mineSince[machine]?.sinceUs ?: context.now) > SETTLING) return false
         return replica.revision < claim.version || (views[machine]?.token ?: 0) < claim.version
     }
 
     /** The machine's worker has surely killed its tasks: nobody can have renewed its lease. */
     fun hasLapsed(view: MachineView): Boolean {
         val tenure = mineSince[view.id] ?: return false
-        if (!ownership.controls(view.id) || !view.hasLapsed(kernel.now, tenure.sinceUs, tenure.token, kernel.settings.leaseUs)) return false
+        if (!ownership.controls(view.id) ||
+            !view.hasLapsed(context.now, tenure.sinceUs, tenure.token, context.settings.leaseUs)
+        ) {
+            return false
+        }
         // Somebody in its zone may have answered it for us.
-        val standIn = standing.standInUntil(replica.machines[view.id]?.record?.zone) ?: return false
-        return MachineView.isLeaseOver(kernel.now, standIn, kernel.settings.leaseUs)
+        val standIn = health.standInUntil(replica.machines[view.id]?.record?.zone) ?: return false
+        return MachineView.isLeaseOver(context.now, standIn, context.settings.leaseUs)
     }
 
     /**
@@ -408,7 +419,7 @@
             if (!ownership.isMine(claim)) {
                 mineSince.remove(known.id)
             } else if (known.id !in mineSince) {
-                mineSince[known.id] = Tenure(kernel.now, claim?.version ?: 0)
+                mineSince[known.id] = Tenure(context.now, claim?.version ?: 0)
                 // What failed while it was another's says nothing of now.
                 failures.remove(known.id)
             }
@@ -421,22 +432,22 @@
 
     /** Sends [touched] machines what changed for them, confirms machines that came under our control, and raises the token where a start was lost. */
     fun tick(touched: Collection<MachineId>) {
-        if (!standing.healthy()) return
+        if (!health.healthy()) return
         touched.forEach { if (it in mineSince) push(it) }
-        if (kernel.now < nextTickUs) return
-        nextTickUs = kernel.now + TICK
-        orders.clean()
+        if (context.now < nextTickUs) return
+        nextTickUs = context.now + TICK
+        commandPlanner.clean()
         if (isCutOff) probeLost()
         // Hundreds at once would keep users waiting: most confirm themselves with their next reports.
         var confirmations = 0
         for (id in mineSince.keys) {
             val view = views[id]
             val claim = ownership.control(id) ?: continue
-            if (view != null && view.needsHigherToken && kernel.now - view.heardUs < RECENT) ownership.raise(id, "lost-start")
+            if (view != null && view.needsHigherToken && context.now - view.heardUs < RECENT) ownership.raise(id, "lost-start")
             val unconfirmed = view?.latest == null || view.token < claim.version
-            if (unconfirmed && kernel.now >= (confirmAfter[id] ?: 0) && confirmations < MAX_CONFIRMATIONS) {
+            if (unconfirmed && context.now >= (confirmAfter[id] ?: 0) && confirmations < MAX_CONFIRMATIONS) {
                 confirmations++
-                confirmAfter[id] = kernel.now + CONFIRM_EVERY
+                confirmAfter[id] = context.now + CONFIRM_EVERY
                 push(id)
             } else if (isUnreachable(id)) {
                 probe(id)
@@ -450,7 +461,7 @@
      */
     private fun probeLost() {
         val lost = failures.keys.filter { it !in mineSince }
-        if (lost.isNotEmpty()) probe(lost[kernel.random.nextInt(lost.size)])
+        if (lost.isNotEmpty()) probe(lost[context.random.nextInt(lost.size)])
     }
 
     companion object {
--- a/src/main/kotlin/mintpick/engine/FormatGate.kt
+++ b/src/main/kotlin/mintpick/engine/FormatGate.kt
@@ -13,15 +13,15 @@
  * present or not, has announced it. One that has not announced anything reads only the oldest.
  */
 class FormatGate(
-    private val kernel: Kernel,
+    private val context: EngineContext,
 ) {
-    private val everybody = (kernel.settings.peers.map { it.node } + kernel.settings.node).map(::NodeId)
+    private val everybody = (context.settings.peers.map { it.node } + context.settings.node).map(::NodeId)
     private var reported: RecordFormat? = null
 
     /** The newest format that every controller reads. */
     val current: RecordFormat
         get() {
-            val formats = kernel.replica.formats
+            val formats = context.replica.formats
             return RecordFormat.readableAt(everybody.minOf { formats[it] ?: 0 })
         }
 
@@ -31,19 +31,19 @@
     /** Most bytes of one value: the oldest format is needed only while the limits of before the upgrade are in force. */
     val valueBytes: Double
         get() {
-            val settings = kernel.settings
+            val settings = context.settings
             return (if (current == RecordFormat.VERBOSE) settings.valueKbAtStart else settings.limits.valueKb) * KB
         }
 
     /** Levels by controller, for the status page. */
-    fun levels(): Map<String, Int> = everybody.associate { it.text to (kernel.replica.formats[it] ?: RecordFormat.VERBOSE.level) }
+    fun levels(): Map<String, Int> = everybody.associate { it.text to (context.replica.formats[it] ?: RecordFormat.VERBOSE.level) }
 
     /** What this controller has to write to announce what it reads; null if it has. */
     fun announcement(): Write? {
-        val mine = kernel.replica.formats[kernel.me] ?: 0
+        val mine = context.replica.formats[context.me] ?: 0
         if (mine >= RecordFormat.NEWEST.level) return null
         val record = FormatRecord(RecordFormat.NEWEST.level)
-        return Write(Keys.format(kernel.me.text), WireJson.encodeToJsonElement(FormatRecord.serializer(), record))
+        return Write(Keys.format(context.me.text), WireJson.encodeToJsonElement(FormatRecord.serializer(), record))
     }
 
     /** Logs each change of the format once. */
--- a/src/main/kotlin/mintpick/engine/Draft.kt
+++ b/src/main/kotlin/mintpick/engine/JobChange.kt
@@ -10,7 +10,7 @@
 import mintpick.wire.StoredStage
 
 /** A job as it is to become, with what must hold for that. */
-class Draft(
+class JobChange(
     val before: Job,
     private val limits: TransactionLimits,
 ) {
@@ -82,26 +82,3 @@
         built = null
     }
 }
-
-/** What one transaction of the state service holds, of which jobs' changes must leave room for what goes with them. */
-class TransactionLimits(
-    /** Changes that one transaction may carry. */
-    val changes: Int,
-) {
-    /** Conditions that one transaction may carry. */
-    val guards: Int get() = changes * GUARDS_PER_CHANGE
-
-    /** Chunks of [job] that may change together, beside its main record and its team's reservation. */
-    fun chunksOf(job: Job): Int = minOf(job.chunkCount, MOST_CHUNKS, maxOf(1, changes - BESIDE_CHUNKS))
-
-    /** Guards of machines that a change of [job] may have, beside those of its own records and its team's reservation. */
-    fun guardsOf(job: Job): Int = guards - BESIDE_CHUNKS - chunksOf(job)
-
-    private companion object {
-        const val GUARDS_PER_CHANGE = 4
-        const val MOST_CHUNKS = 6
-
-        /** The job's main record, and its team's reservation. */
-        const val BESIDE_CHUNKS = 2
-    }
-}
--- a/src/main/kotlin/mintpick/engine/JobUrgency.kt
+++ b/src/main/kotlin/mintpick/engine/JobUrgency.kt
@@ -11,15 +11,15 @@
 
 /** How urgent jobs are by their own deadlines and priorities and by those of the jobs that wait for them. */
 class JobUrgency(
-    private val kernel: Kernel,
+    private val context: EngineContext,
 ) {
-    private var replica = kernel.replica
+    private var replica = context.replica
     private var paths = paths()
 
     /** When each released job was first seen to be so: its waits count from then on. */
     private val readySince = HashMap<JobId, Micros>()
 
-    private fun paths() = CriticalPaths(kernel.replica.dependencies) { id -> kernel.replica.job(id)?.let(::demand) }
+    private fun paths() = CriticalPaths(context.replica.dependencies) { id -> context.replica.job(id)?.let(::demand) }
 
     private fun demand(job: Job) =
         JobDemand(
@@ -30,12 +30,12 @@
 
     fun of(job: Job): Urgency {
         // The records may have been read anew.
-        if (replica !== kernel.replica) {
-            replica = kernel.replica
+        if (replica !== context.replica) {
+            replica = context.replica
             paths = paths()
         }
         val isNeeded =
-            kernel.replica.dependencies
+            context.replica.dependencies
                 .successors(job.id)
                 .isNotEmpty()
         return paths.takeIf { isNeeded }?.urgency(job.id) ?: demand(job).let { Urgency(it.priority, it.dueUs?.minus(it.runUs)) }
@@ -47,8 +47,8 @@
      */
     fun readySinceUs(job: Job): Micros {
         if (job.spec.predecessorIds.isEmpty()) return job.submittedUs
-        if (readySince.size > MOST_KNOWN) readySince.keys.removeIf { kernel.replica.job(it) == null }
-        return readySince.getOrPut(job.id) { kernel.wall }
+        if (readySince.size > MOST_KNOWN) readySince.keys.removeIf { context.replica.job(it) == null }
+        return readySince.getOrPut(job.id) { context.wall }
     }
 
     private companion object {
--- a/src/main/kotlin/mintpick/engine/Caretaker.kt
+++ b/src/main/kotlin/mintpick/engine/MachineMonitor.kt
@@ -10,24 +10,24 @@
 import mintpick.wire.TaskState
 
 /** Looks after this controller's machines: gives up silent ones, empties noticed ones, returns borrowed ones. */
-class Caretaker(
-    private val kernel: Kernel,
+class MachineMonitor(
+    private val context: EngineContext,
     private val link: StateLink,
     private val ownership: Ownership,
     private val fleet: Fleet,
-    private val standing: Standing,
-    private val roster: Roster,
-    private val orders: Orders,
+    private val health: ControllerHealth,
+    private val machineRegistry: MachineRegistry,
+    private val commandPlanner: CommandPlanner,
     private val scheduling: Scheduling,
 ) {
     private var nextUs: Micros = 0
     private val borrowedSince = HashMap<mintpick.core.MachineId, Micros>()
 
-    private val replica get() = kernel.replica
+    private val replica get() = context.replica
 
     fun tick() {
-        if (!standing.healthy() || kernel.now < nextUs) return
-        nextUs = kernel.now + TICK
+        if (!health.healthy() || context.now < nextUs) return
+        nextUs = context.now + TICK
         giveUpSilent()
         emptyNoticed()
         giveBack()
@@ -37,15 +37,15 @@
      * A machine that has fallen silent is returned, which proves it gone.
      */
     private fun giveUpSilent() {
-        if (kernel.now - link.servingSinceUs < SETTLE) return
+        if (context.now - link.servingSinceUs < SETTLE) return
         val mine = fleet.mine.mapNotNull(fleet::view).filter { it.token > 0 && ownership.controls(it.id) && isMissed(it) }
         val serving = mine.filterTo(HashSet(), ::servesUsers)
         // Asking hundreds of machines every second would cost more than what it finds out.
         val heartbeat = maxOf(HEARTBEAT, serving.size * SECOND / HEARTBEATS)
         val due = mine.filter { silenceOf(it) > if (it in serving) heartbeat else patience }
         // Beyond a cut a few are enough to see when it ends.
-        val (open, beyond) = due.partition { standing.heardFromZone(zoneOf(it), kernel.now - ZONE_SILENCE) }
-        val drawn = if (beyond.isEmpty()) emptyList() else List(BEYOND) { beyond[kernel.random.nextInt(beyond.size)] }
+        val (open, beyond) = due.partition { health.heardFromZone(zoneOf(it), context.now - ZONE_SILENCE) }
+        val drawn = if (beyond.isEmpty()) emptyList() else List(BEYOND) { beyond[context.random.nextInt(beyond.size)] }
         (open + drawn).forEach { fleet.probe(it.id) }
         val silent = mine.filter { isSilent(it, it in serving) || isOneWay(it) }
         if (silent.isEmpty()) return
@@ -57,14 +57,14 @@
             val since = if (oneWay) fleet.unreachableSince(view.id) ?: continue else fleet.silentSince(view.id)
             // Heard after the first call that failed: the way to the machine's zone was open when it did not answer.
             val failing = fleet.unreachableSince(view.id) ?: continue
-            val peersHeard = standing.heardFromZone(zoneOf(view), failing) && isOpen(view)
+            val peersHeard = health.heardFromZone(zoneOf(view), failing) && isOpen(view)
             // Others there fail with it and no call has got through since: then it may be we who do not reach them. Cut off
             // from its workers alone, a leader once returned 72 live machines within seconds, those of the services first.
             val alike = (failingIn[zoneOf(view)] ?: 0) > 1 && fleet.reachedIn(zoneOf(view)) < failing
-            if (kernel.now - since >
+            if (context.now - since >
                 doubt(view, many || alike, peersHeard)
             ) {
-                roster.retire(view.id, Retiring.NOW, if (oneWay) "one-way" else "silent")
+                machineRegistry.retire(view.id, Retiring.NOW, if (oneWay) "one-way" else "silent")
             }
         }
     }
@@ -74,7 +74,7 @@
      * first of its controllers was heard again, for calls that had failed in the cut.
      */
     private fun isOpen(view: MachineView): Boolean =
-        standing.openSince(zoneOf(view))?.let { it == 0L || kernel.now - it > patience } ?: false
+        health.openSince(zoneOf(view))?.let { it == 0L || context.now - it > patience } ?: false
 
     /** One that is on its way back to the cloud with nothing left on it is gone before its record is. */
     private fun isMissed(view: MachineView): Boolean {
@@ -88,7 +88,7 @@
      */
     private fun isOneWay(view: MachineView): Boolean {
         val since = fleet.unreachableSince(view.id) ?: return false
-        return fleet.failedCalls(view.id) > PROBES && kernel.now - since > patience + TURN_AWAY
+        return fleet.failedCalls(view.id) > PROBES && context.now - since > patience + TURN_AWAY
     }
 
     /**
@@ -103,15 +103,15 @@
         peersHeard: Boolean,
     ): Micros =
         when {
-            !peersHeard -> kernel.settings.leaseUs * LEASES_DOUBTED + SILENCE + standing.standInSpan(zoneOf(view))
+            !peersHeard -> context.settings.leaseUs * LEASES_DOUBTED + SILENCE + health.standInSpan(zoneOf(view))
             // Who reaches them adopts them by then.
-            fleet.isCutOff -> kernel.settings.leaseUs + SILENCE
-            many -> minOf(patience + TURN_AWAY, kernel.settings.leaseUs)
+            fleet.isCutOff -> context.settings.leaseUs + SILENCE
+            many -> minOf(patience + TURN_AWAY, context.settings.leaseUs)
             else -> 0
         }
 
     /** Longer than any pause between two reports. */
-    private val patience: Micros = kernel.settings.reportUs * 5 / 4 + LATE
+    private val patience: Micros = context.settings.reportUs * 5 / 4 + LATE
 
     /** Machines that serve users are asked between their reports; others only once a report is late. */
     private fun isSilent(
@@ -119,7 +119,7 @@
         serving: Boolean,
     ): Boolean {
         val failures = fleet.failedCalls(view.id)
-        if (failures == 0 || standing.heardElsewhere(view.id, within = silenceOf(view))) return false
+        if (failures == 0 || health.heardElsewhere(view.id, within = silenceOf(view))) return false
         return if (serving) failures >= PROBES && silenceOf(view) > HEARTBEAT * 2 else silenceOf(view) > patience + HEARTBEAT
     }
 
@@ -127,13 +127,18 @@
 
     private fun servesUsers(view: MachineView): Boolean = replica.servicesOn(view.id).cpus > Resources.EPSILON
 
-    private fun silenceOf(view: MachineView): Micros = kernel.now - fleet.silentSince(view.id)
+    private fun silenceOf(view: MachineView): Micros = context.now - fleet.silentSince(view.id)
 
     /** Work on a machine with a notice moves at once: its worker need not be asked twice. */
     private fun emptyNoticed() {
         for (view in fleet.views()) {
-            if (view.noticeEndsUs == null || !ownership.controls(view.id) || !orders.isNoticed(view, ownership.control(view.id))) continue
-            if (replica.machines[view.id]?.record?.retiring == Retiring.NO) roster.retire(view.id, Retiring.DRAIN, "notice")
+            if (view.noticeEndsUs == null ||
+                !ownership.controls(view.id) ||
+                !commandPlanner.isNoticed(view, ownership.control(view.id))
+            ) {
+                continue
+            }
+            if (replica.machines[view.id]?.record?.retiring == Retiring.NO) machineRegistry.retire(view.id, Retiring.DRAIN, "notice")
             if (hasRunning(view)) fleet.push(view.id)
         }
     }
@@ -147,9 +152,9 @@
         borrowedSince.keys.retainAll(replica.borrows.keys)
         for ((machine, claim) in replica.borrows.toMap()) {
             if (!ownership.isMine(claim)) continue
-            val since = borrowedSince.getOrPut(machine) { kernel.now }
+            val since = borrowedSince.getOrPut(machine) { context.now }
             val wanted = scheduling.starved.isNotEmpty() || replica.tasksOn(machine).isNotEmpty()
-            if (!wanted && kernel.now - since > BORROW_LEAST && link.writesAllowed() > 2) ownership.giveBack(machine)
+            if (!wanted && context.now - since > BORROW_LEAST && link.writesAllowed() > 2) ownership.giveBack(machine)
         }
     }
 
--- a/src/main/kotlin/mintpick/engine/Roster.kt
+++ b/src/main/kotlin/mintpick/engine/MachineRegistry.kt
@@ -16,8 +16,8 @@
  * ones to be given up, and strikes out those proven gone. What comes within a moment goes in one write, since a
  * fleet that boots or is taken back in a wave would otherwise use up the writes that jobs need.
  */
-class Roster(
-    private val kernel: Kernel,
+class MachineRegistry(
+    private val context: EngineContext,
     private val link: StateLink,
     private val ownership: Ownership,
     private val fleet: Fleet,
@@ -35,10 +35,10 @@
     private var nextTickUs: Micros = 0
 
     /** What is written down about machines may use this much of the limits; the rest is for jobs. */
-    private val share = kernel.settings.limits.writeRps / (kernel.settings.peers.size + 1) * WRITE_PART
+    private val share = context.settings.limits.writeRps / (context.settings.peers.size + 1) * WRITE_PART
     private val writes = Bucket(share, maxOf(2.0, share * 2))
 
-    private val replica get() = kernel.replica
+    private val replica get() = context.replica
 
     /** Marks a machine as one to be emptied, or to be given up at once. */
     fun retire(
@@ -51,15 +51,15 @@
         marks[id] = Mark(how, reason)
         // What is lost is not to wait for others.
         if (how == Retiring.NOW) nextUs[ownership.part(id.text)] = 0
-        nextTickUs = minOf(nextTickUs, kernel.now + GATHER)
+        nextTickUs = minOf(nextTickUs, context.now + GATHER)
     }
 
     /** Whether [id] waits to be written down as one to be given up. */
     fun isMarked(id: MachineId): Boolean = id in marks
 
     fun tick() {
-        if (!link.serving || !link.reachable || kernel.now < nextTickUs) return
-        nextTickUs = kernel.now + TICK
+        if (!link.serving || !link.reachable || context.now < nextTickUs) return
+        nextTickUs = context.now + TICK
         val added = HashMap<Int, MutableMap<MachineId, MachineRecord>>()
         for (view in fleet.views()) {
             val report = view.latest ?: continue
@@ -83,12 +83,12 @@
         for (part in (added.keys + marked.keys + dropped.keys).sortedBy { nextUs[it] ?: 0 }) {
             val hurry = marked[part].orEmpty().any { it.value.how == Retiring.NOW }
             // Its own part of the writes is enough: what places tasks would leave none, and an unlisted machine takes no task.
-            if (part in busy || (!hurry && kernel.now < (nextUs[part] ?: 0)) || !link.mayWrite) continue
+            if (part in busy || (!hurry && context.now < (nextUs[part] ?: 0)) || !link.mayWrite) continue
             // Gone machines harm nobody by being listed: they alone are reason enough only now and then.
-            if (part !in added && part !in marked && kernel.now < (nextUs[part] ?: 0) + DROP_WAIT) continue
+            if (part !in added && part !in marked && context.now < (nextUs[part] ?: 0) + DROP_WAIT) continue
             if (hurry) {
-                writes.force(kernel.now, 1.0)
-            } else if (!writes.take(kernel.now, 1.0)) {
+                writes.force(context.now, 1.0)
+            } else if (!writes.take(context.now, 1.0)) {
                 continue
             }
             store(part, added[part].orEmpty(), marked[part].orEmpty().associate { it.key to it.value }, dropped[part].orEmpty())
@@ -108,9 +108,9 @@
         dropped.forEach { pieces.remove(it.id) }
         val written = marked.filter { (id, mark) -> pieces.mark(id, mark.how) }
         if (written.size < marked.size) LOG.warn("fleet record full part={} marks={} waiting", part, marked.size - written.size)
-        val ops = kernel.settings.limits.transactionOps
+        val ops = context.settings.limits.transactionOps
         val changed = pieces.changed(maxOf(1, ops - minOf(MAX_OLD * 2, ops / 2)), MAX_BYTES)
-        nextUs[part] = kernel.now + EVERY
+        nextUs[part] = context.now + EVERY
         if (changed.isEmpty()) return
         busy += part
         val machines = changed.values.flatMapTo(HashSet()) { it.machines.keys }
@@ -122,7 +122,7 @@
         val legacy = legacyKeys.take(minOf(MAX_OLD, left - borrows.size)).map { Write(it, null) }
         // Borrowings first: of a machine that is struck out after them no end of a borrowing has to be kept.
         val writes = borrows + changed.map { (piece, table) -> Write(Keys.fleet(part, piece), table.value) } + legacy
-        this.writes.force(kernel.now, (writes.size - 1).toDouble())
+        this.writes.force(context.now, (writes.size - 1).toDouble())
         link.transact(guardsOf(part, pieces), writes) { result ->
             busy -= part
             if (result is TransactionResult.Committed) {
@@ -132,7 +132,7 @@
                     LOG.info("retire machine={} type={} how={} reason={}", id.text, typeOf(id), mark.how, mark.reason)
                 }
             } else {
-                nextUs[part] = kernel.now + RETRY
+                nextUs[part] = context.now + RETRY
                 link.caughtUp { }
             }
         }
@@ -147,7 +147,7 @@
     ): List<Guard> = pieces.numbers.map { Keys.fleet(part, it) }.map { Guard(it, replica.version(it)) }
 
     companion object {
-        private val LOG = LoggerFactory.getLogger(Roster::class.java)
+        private val LOG = LoggerFactory.getLogger(MachineRegistry::class.java)
         private const val TICK: Micros = 400 * MILLI
         private const val GATHER: Micros = 20 * MILLI
         private const val EVERY: Micros = 800 * MILLI
--- a/src/main/kotlin/mintpick/engine/Observer.kt
+++ b/src/main/kotlin/mintpick/engine/Observer.kt
@@ -25,10 +25,10 @@
  * what it finds until it is written: a write for each finished task would be more than the state service takes.
  */
 class Observer(
-    private val kernel: Kernel,
+    private val context: EngineContext,
     private val ownership: Ownership,
     private val fleet: Fleet,
-    private val orders: Orders,
+    private val commandPlanner: CommandPlanner,
 ) {
     /** What one machine proves and the records do not show yet. */
     private class Facts(
@@ -66,7 +66,7 @@
     private var nextSweepUs: Micros = 0
     private var epochSeen = -1L
 
-    private val replica get() = kernel.replica
+    private val replica get() = context.replica
 
     fun isGone(machine: MachineId): Boolean = machine in gone
 
@@ -81,9 +81,9 @@
     }
 
     /** A job whose tasks keep failing waits between retries: it may fail everywhere until its user gives it up. */
-    fun mayPlace(job: JobId): Boolean = failures.mayRetry(job, kernel.now)
+    fun mayPlace(job: JobId): Boolean = failures.mayRetry(job, context.now)
 
-    fun hasRoom(machine: MachineId): Boolean = kernel.now >= (fullUntil[machine] ?: 0)
+    fun hasRoom(machine: MachineId): Boolean = context.now >= (fullUntil[machine] ?: 0)
 
     /** Room on a machine that the records still show as taken. */
     fun freedOn(machine: MachineId): Resources = facts[machine]?.freed ?: Resources.ZERO
@@ -94,9 +94,9 @@
         if (replica.claimEpoch != epochSeen) {
             epochSeen = replica.claimEpoch
             dirty += replica.machinesWithTasks()
-        } else if (kernel.now >= nextSweepUs) {
+        } else if (context.now >= nextSweepUs) {
             // Time proves something of what is ours alone: that its lease has lapsed.
-            nextSweepUs = kernel.now + SWEEP
+            nextSweepUs = context.now + SWEEP
             dirty += fleet.mine
             forgetFailures()
         }
@@ -119,7 +119,7 @@
         for (task in found.done.keys + found.over.keys) {
             verdicts.remove(task.job)
             machinesOf.getOrPut(task.job) { HashSet() } += machine
-            oldest.putIfAbsent(task.job, kernel.now)
+            oldest.putIfAbsent(task.job, context.now)
         }
     }
 
@@ -164,7 +164,10 @@
                 is Proof.Over -> {
                     // Absent and still wanted here: it will be sent again, which is quicker than another assignment.
                     val wanted =
-                        proof.cause == null && job.stage == StoredStage.OPEN && !orders.isEmptying(view, claim) && id !in orders.stopping
+                        proof.cause == null &&
+                            job.stage == StoredStage.OPEN &&
+                            !commandPlanner.isEmptying(view, claim) &&
+                            id !in commandPlanner.stopping
                     if (wanted) continue
                     over[task] = attempt
                     if (before?.over?.get(task) != attempt) note(view, id, job, proof.cause)
@@ -176,7 +179,7 @@
     }
 
     /** Notes in [draft] all that is proven of its job. */
-    fun apply(draft: Draft) {
+    fun apply(draft: JobChange) {
         val id = draft.before.id
         for (machine in machinesOf[id].orEmpty()) {
             val known = facts[machine] ?: continue
@@ -205,7 +208,7 @@
         verdicts.keys.retainAll(oldest.keys)
         return oldest.keys.filter { id ->
             val job = replica.job(id) ?: return@filter false
-            kernel.now - (oldest[id] ?: kernel.now) >= LAZY || isUrgent(id, job)
+            context.now - (oldest[id] ?: context.now) >= LAZY || isUrgent(id, job)
         }
     }
 
@@ -242,8 +245,8 @@
         attempt: AttemptId,
     ) {
         if (view.state(attempt)?.state != TaskState.RUNNING) return
-        val since = runningSince.getOrPut(attempt) { kernel.now }
-        if (kernel.now - since > RUNS_WELL) failures.succeeded(view.id, attempt.task.job)
+        val since = runningSince.getOrPut(attempt) { context.now }
+        if (context.now - since > RUNS_WELL) failures.succeeded(view.id, attempt.task.job)
     }
 
     private fun note(
@@ -258,7 +261,7 @@
                 noteFailure(machine, attempt, job)
             }
             ExitCause.NO_ROOM, ExitCause.BUSY, ExitCause.UNKNOWN -> {
-                fullUntil[machine] = kernel.now + FULL_PAUSE
+                fullUntil[machine] = context.now + FULL_PAUSE
                 LOG.debug("start refused task={} machine={} cause={}", attempt.task, machine.text, cause)
             }
             else -> Unit
@@ -273,7 +276,7 @@
     ) {
         val isFirst = !failures.hasFailed(job.id)
         val wasFaulty = failures.isFaulty(job.id)
-        failures.failed(machine, job.id, hasSucceeded = job.done > 0, kernel.now)
+        failures.failed(machine, job.id, hasSucceeded = job.done > 0, context.now)
         if (isFirst) LOG.info("task failed task={} attempt={} machine={}", attempt.task, attempt.attempt, machine.text)
         LOG.debug("task failed task={} attempt={} machine={}", attempt.task, attempt.attempt, machine.text)
         if (!wasFaulty && failures.isFaulty(job.id)) {
--- a/src/main/kotlin/mintpick/engine/Ownership.kt
+++ b/src/main/kotlin/mintpick/engine/Ownership.kt
@@ -22,7 +22,7 @@
  * A claim may be overwritten at any time: every placement is guarded by it, and workers drop lower tokens.
  */
 class Ownership(
-    private val kernel: Kernel,
+    private val context: EngineContext,
     private val link: StateLink,
 ) {
     private class Seen(
@@ -30,7 +30,7 @@
         val sinceUs: Micros,
     )
 
-    private val zones = kernel.settings.zones
+    private val zones = context.settings.zones
     private val shards = PARTS * zones.size
     private val seen = HashMap<Int, Seen>()
     private val absentSince = HashMap<Int, Micros>()
@@ -46,7 +46,7 @@
     /** Whether our calls reach the workers, so that what we take from others is served. */
     var reaches: () -> Boolean = { true }
 
-    private val replica get() = kernel.replica
+    private val replica get() = context.replica
 
     /** The part of the cluster that a machine or job hashes into, in every zone. */
     fun part(name: String): Int = Math.floorMod(Hashing.murmur3_32_fixed().hashUnencodedChars(name).asInt(), PARTS)
@@ -86,13 +86,13 @@
     fun isSettled(machine: MachineId): Boolean {
         if (machine in replica.borrows) return false
         val claim = shard(machine)?.let { seen[it] } ?: return false
-        return kernel.now - claim.sinceUs > FIND_WAY
+        return context.now - claim.sinceUs > FIND_WAY
     }
 
     private fun controlKey(machine: MachineId): String? =
         if (machine in replica.borrows) Keys.borrow(machine.text) else shard(machine)?.let { Keys.shard(it) }
 
-    fun isMine(claim: Claim?): Boolean = claim != null && claim.node == kernel.me && claim.lease == link.lease
+    fun isMine(claim: Claim?): Boolean = claim != null && claim.node == context.me && claim.lease == link.lease
 
     fun controls(machine: MachineId): Boolean = isMine(control(machine))
 
@@ -101,7 +101,7 @@
 
     val isLeader: Boolean get() = isMine(replica.leader)
 
-    fun isLive(node: NodeId): Boolean = node == kernel.me || node in replica.nodes
+    fun isLive(node: NodeId): Boolean = node == context.me || node in replica.nodes
 
     /** What must hold for a placement on [machine] to be this controller's to make. */
     fun guards(machine: MachineId): List<Guard> {
@@ -115,8 +115,8 @@
     }
 
     fun tick() {
-        if (!link.serving || kernel.now < nextTickUs) return
-        nextTickUs = kernel.now + TICK
+        if (!link.serving || context.now < nextTickUs) return
+        nextTickUs = context.now + TICK
         observe()
         if (!link.reachable) return
         claimLeader()
@@ -130,11 +130,11 @@
         for (shard in 0 until shards) {
             val claim = replica.claims[shard]
             if (claim == null) {
-                absentSince.putIfAbsent(shard, kernel.now)
+                absentSince.putIfAbsent(shard, context.now)
                 seen.remove(shard)
             } else {
                 absentSince.remove(shard)
-                if (seen[shard]?.version != claim.version) seen[shard] = Seen(claim.version, kernel.now)
+                if (seen[shard]?.version != claim.version) seen[shard] = Seen(claim.version, context.now)
             }
         }
     }
@@ -142,16 +142,16 @@
     private fun claimLeader() {
         val leader = replica.leader
         // Our own earlier process held it: nobody else can.
-        if (leader == null || (leader.node == kernel.me && leader.lease != link.lease)) {
+        if (leader == null || (leader.node == context.me && leader.lease != link.lease)) {
             claim(listOf(Keys.LEADER to (leader?.version ?: 0)), "leader")
         }
     }
 
     /** Claims of this node's earlier process are written anew: their lease is about to end. */
     private fun restore() {
-        val stale = replica.claims.filterValues { it.node == kernel.me && it.lease != link.lease }
+        val stale = replica.claims.filterValues { it.node == context.me && it.lease != link.lease }
         if (stale.isNotEmpty()) claim(stale.map { (shard, claim) -> Keys.shard(shard) to claim.version }, "restored")
-        val borrowed = replica.borrows.filterValues { it.node == kernel.me && it.lease != link.lease }
+        val borrowed = replica.borrows.filterValues { it.node == context.me && it.lease != link.lease }
         if (borrowed.isNotEmpty()) claim(borrowed.map { (machine, claim) -> Keys.borrow(machine.text) to claim.version }, "restored")
     }
 
@@ -164,7 +164,7 @@
         if (shards.isNotEmpty()) claim(shards.map { Keys.shard(it) to (replica.claims[it]?.version ?: 0) }, "outbid")
     }
 
-    private val everybody = (kernel.settings.peers.map { it.node } + kernel.settings.node).sorted().map(::NodeId)
+    private val everybody = (context.settings.peers.map { it.node } + context.settings.node).sorted().map(::NodeId)
 
     private fun live(): List<NodeId> = replica.nodes.keys.sortedBy { it.text }
 
@@ -177,16 +177,16 @@
     private fun claimFree() {
         val free = (0 until shards).filter { it !in replica.claims }
         if (free.isEmpty()) return
-        val mine = replica.claims.values.count { it.node == kernel.me }
+        val mine = replica.claims.values.count { it.node == context.me }
         // Just after a start the others are about to come, too: each takes what will be its own.
-        val settled = kernel.now - link.servingSinceUs > SETTLE
+        val settled = context.now - link.servingSinceUs > SETTLE
         val live = if (settled) live() else everybody
         val share = ceilDiv(shards, maxOf(1, live.size))
-        val rank = live.indexOf(kernel.me).coerceAtLeast(0)
+        val rank = live.indexOf(context.me).coerceAtLeast(0)
         val wanted =
             free.filter { shard ->
-                val waited = kernel.now - (absentSince[shard] ?: kernel.now)
-                holder(shard, live) == kernel.me || waited > rank * STAGGER + STAGGER + if (settled) 0 else SETTLE
+                val waited = context.now - (absentSince[shard] ?: context.now)
+                holder(shard, live) == context.me || waited > rank * STAGGER + STAGGER + if (settled) 0 else SETTLE
             }
         val take = wanted.take((share - mine).coerceAtLeast(0))
         if (take.isNotEmpty()) claim(take.map { Keys.shard(it) to 0L }, "free")
@@ -195,10 +195,12 @@
     /** Takes old claims back to where they belong, so that each controller has its part in every zone. */
     private fun rebalance() {
         // Only while all are in touch, so what each is to hold does not change with those that come and go.
-        if (kernel.now - link.servingSinceUs < SETTLE || !calm() || !reaches()) return
+        if (context.now - link.servingSinceUs < SETTLE || !calm() || !reaches()) return
         val wrong =
             replica.claims.filter { (shard, claim) ->
-                claim.node != kernel.me && holder(shard, everybody) == kernel.me && kernel.now - (seen[shard]?.sinceUs ?: kernel.now) > KEEP
+                claim.node != context.me &&
+                    holder(shard, everybody) == context.me &&
+                    context.now - (seen[shard]?.sinceUs ?: context.now) > KEEP
             }
         if (wrong.isNotEmpty()) claim(wrong.map { (shard, claim) -> Keys.shard(shard) to claim.version }, "rebalanced")
     }
@@ -235,13 +237,13 @@
     ) {
         val claim = control(machine)
         val key = controlKey(machine)
-        if (claim == null || key == null || !isMine(claim) || kernel.now - (raises[key] ?: -RAISE_EVERY) < RAISE_EVERY) return
-        raises[key] = kernel.now
+        if (claim == null || key == null || !isMine(claim) || context.now - (raises[key] ?: -RAISE_EVERY) < RAISE_EVERY) return
+        raises[key] = context.now
         claim(listOf(key to claim.version), reason)
     }
 
     private fun record(): JsonElement? =
-        link.lease?.let { WireJson.encodeToJsonElement(ClaimRecord.serializer(), ClaimRecord(kernel.me.text, it)) }
+        link.lease?.let { WireJson.encodeToJsonElement(ClaimRecord.serializer(), ClaimRecord(context.me.text, it)) }
 
     /**
      * Takes machines from their shards' owners, whose guards fail from the write on: it raises their shards'
@@ -254,7 +256,7 @@
     ) {
         if (!isLeader || !reaches()) return
         // One that another controller has adopted is taken from it in the same way.
-        val free = machines.filter { !controls(it) && shard(it) != null }.take(maxOf(1, kernel.settings.limits.transactionOps / 2))
+        val free = machines.filter { !controls(it) && shard(it) != null }.take(maxOf(1, context.settings.limits.transactionOps / 2))
         if (free.isEmpty()) return
         val targets = free.map { Keys.borrow(it.text) to (replica.borrows[it]?.version ?: 0L) }
         claim(targets, "borrowed", free.mapNotNullTo(HashSet()) { shard(it) }) { done ->
@@ -280,7 +282,7 @@
         then: (Boolean) -> Unit = {},
     ) {
         val record = record() ?: return then(false)
-        val open = targets.filter { it.first !in busy }.take(maxOf(1, kernel.settings.limits.transactionOps - epochs.size))
+        val open = targets.filter { it.first !in busy }.take(maxOf(1, context.settings.limits.transactionOps - epochs.size))
         if (open.isEmpty() || link.writesAllowed() < 1) return then(false)
         busy += open.map { it.first }
         val writes = open.map { Write(it.first, record, leased = true) } + epochs.map { Write(Keys.epoch(it), record) }
--- a/src/main/kotlin/mintpick/engine/Preemptor.kt
+++ b/src/main/kotlin/mintpick/engine/Preemptor.kt
@@ -22,10 +22,10 @@
 
 /** Makes room for requests that are owed it by stopping what yields to them. */
 class Preemptor(
-    private val kernel: Kernel,
+    private val context: EngineContext,
     private val ownership: Ownership,
     private val fleet: Fleet,
-    private val orders: Orders,
+    private val commandPlanner: CommandPlanner,
     private val accounting: Accounting,
     private val operators: Operators,
 ) {
@@ -41,17 +41,17 @@
     /** When this controller first saw an assignment: the start of its protected window at the latest. */
     private val seenSince = HashMap<AttemptId, Micros>()
 
-    private val replica get() = kernel.replica
+    private val replica get() = context.replica
 
     fun tick(touched: Collection<MachineId>) {
         for (machine in touched) {
-            for ((task, attempt) in replica.tasksOn(machine)) seenSince.putIfAbsent(AttemptId(task, attempt), kernel.now)
+            for ((task, attempt) in replica.tasksOn(machine)) seenSince.putIfAbsent(AttemptId(task, attempt), context.now)
         }
         if (seenSince.size > cleanAbove) {
             seenSince.keys.removeIf { replica.job(it.task.job)?.placement(it.task.index)?.attempt != it.attempt }
             cleanAbove = maxOf(CLEAN_ABOVE, seenSince.size * 2)
         }
-        if (quietUntil.size > CLEAN_ABOVE) quietUntil.values.removeIf { it < kernel.now }
+        if (quietUntil.size > CLEAN_ABOVE) quietUntil.values.removeIf { it < context.now }
     }
 
     private var cleanAbove = CLEAN_ABOVE
@@ -63,8 +63,8 @@
         perZone: Map<String, Int>,
     ) {
         if (!job.spec.isProduction && !accounting.isFunded(job.id)) return
-        if (kernel.now < (quietUntil[job.id] ?: 0)) return
-        quietUntil[job.id] = kernel.now + PAUSE
+        if (context.now < (quietUntil[job.id] ?: 0)) return
+        quietUntil[job.id] = context.now + PAUSE
         val claimant =
             Claimant(
                 job.spec.team,
@@ -73,12 +73,12 @@
                 accounting.isOverShare(job.spec.team),
             )
         val counts = HashMap(perZone)
-        val rooms = among.some(kernel.random, SAMPLE)
+        val rooms = among.some(context.random, SAMPLE)
         repeat(minOf(job.waiting, MAX_AT_ONCE)) {
             val choice =
                 rooms
                     .filter { Placer.allowed(job.spec, it.type, it.zone, it.spot) && (counts[it.zone] ?: 0) < job.spec.zoneCap }
-                    .filter { kernel.now >= (machineQuietUntil[it.machine] ?: 0) }
+                    .filter { context.now >= (machineQuietUntil[it.machine] ?: 0) }
                     .mapNotNull { choose(it, job.spec.demand, claimant) }
                     .minByOrNull { it.lostUs } ?: return
             rooms.first { it.machine == choice.machine }.let { counts.merge(it.zone, 1, Int::plus) }
@@ -98,14 +98,14 @@
             replica
                 .tasksOn(room.machine)
                 .map { AttemptId(it.key, it.value) }
-                .filter { it !in orders.stopping && yields(it, claimant) }
-                .sortedByDescending { seenSince[it] ?: kernel.now }
+                .filter { it !in commandPlanner.stopping && yields(it, claimant) }
+                .sortedByDescending { seenSince[it] ?: context.now }
         for (victim in candidates) {
             if (demand.fits(free)) break
             val spec = replica.job(victim.task.job)?.spec ?: continue
             free += spec.demand
             victims += victim
-            lost += (kernel.now - (seenSince[victim] ?: kernel.now)).toDouble() * spec.cpus
+            lost += (context.now - (seenSince[victim] ?: context.now)).toDouble() * spec.cpus
         }
         return if (demand.fits(free) && victims.isNotEmpty()) Choice(room.machine, victims, lost) else null
     }
@@ -124,7 +124,7 @@
                 ?.takeIf { it > 0 }
                 ?.let { (spec.imageGb / it * SECOND).toLong() } ?: 0
         val window = Contract.minimumRuntime(spec, fetch, operators.minimumRuntimeCapUs)
-        val expired = kernel.now - (seenSince[attempt] ?: kernel.now) > window
+        val expired = context.now - (seenSince[attempt] ?: context.now) > window
         val over = accounting.isOverShare(spec.team)
         return Yielding.yields(Occupant(spec.team, spec.priority, accounting.isFunded(job.id), expired, over), claimant)
     }
@@ -133,7 +133,7 @@
         job: Job,
         choice: Choice,
     ) {
-        machineQuietUntil[choice.machine] = kernel.now + MACHINE_PAUSE
+        machineQuietUntil[choice.machine] = context.now + MACHINE_PAUSE
         if (!ownership.controls(choice.machine)) {
             // The leader may stop tasks only on what it commands; once it is borrowed the job asks again.
             ownership.borrow(listOf(choice.machine), fleet::push)
@@ -141,7 +141,7 @@
             return
         }
         LOG.info("preempt for={} machine={} victims={} reason=owed", job.id.text, choice.machine.text, choice.victims.map { it.task })
-        choice.victims.forEach { orders.stopping[it] = "preempted" }
+        choice.victims.forEach { commandPlanner.stopping[it] = "preempted" }
         fleet.push(choice.machine)
     }
 
--- a/src/main/kotlin/mintpick/engine/RecordSweeper.kt
+++ b/src/main/kotlin/mintpick/engine/RecordSweeper.kt
@@ -11,25 +11,25 @@
  * or whose submission was never finished. Housekeeping only, which waits until there are writes to spare.
  */
 class RecordSweeper(
-    private val kernel: Kernel,
+    private val context: EngineContext,
     private val link: StateLink,
     private val ownership: Ownership,
-    private val desk: Desk,
+    private val userRequests: UserRequests,
 ) {
     /** Since when each specification has been without an open job. */
     private val unusedSince = HashMap<JobId, Micros>()
     private var nextUs: Micros = 0
     private var busy = false
 
-    private val replica get() = kernel.replica
+    private val replica get() = context.replica
 
     fun tick() {
-        if (!link.serving || !link.reachable || kernel.now < nextUs) return
-        nextUs = kernel.now + EVERY
-        val unused = replica.specsApart.filter { replica.job(it) == null && it !in desk.submissions }.toSet()
+        if (!link.serving || !link.reachable || context.now < nextUs) return
+        nextUs = context.now + EVERY
+        val unused = replica.specsApart.filter { replica.job(it) == null && it !in userRequests.submissions }.toSet()
         unusedSince.keys.retainAll(unused)
-        unused.forEach { unusedSince.putIfAbsent(it, kernel.now) }
-        val due = unusedSince.filter { (id, since) -> kernel.now - since > patience(id) && ownership.home(id) == kernel.me }.keys
+        unused.forEach { unusedSince.putIfAbsent(it, context.now) }
+        val due = unusedSince.filter { (id, since) -> context.now - since > patience(id) && ownership.home(id) == context.me }.keys
         due.firstOrNull()?.let(::remove)
     }
 
@@ -42,7 +42,7 @@
             replica
                 .specPiecesOf(job)
                 .sortedDescending()
-                .take(kernel.settings.limits.transactionOps)
+                .take(context.settings.limits.transactionOps)
                 .map { Keys.spec(job.text, it) }
         busy = true
         // The job may have been stored by another controller at this moment: then nothing is removed.
--- a/src/main/kotlin/mintpick/engine/Replica.kt
+++ b/src/main/kotlin/mintpick/engine/Replica.kt
@@ -337,11 +337,11 @@
         return if (count == 0 || pieces.size < count) null else SpecPieces.join(pieces.values)
     }
 
-    /** Whether [pieces] are stored as the specification of [id]. */
-    fun hasSpecPieces(
+    /** Piece [index] of [id]'s specification; null: not known. */
+    fun specPiece(
         id: JobId,
-        pieces: List<String>,
-    ): Boolean = specPieces[id]?.headMap(pieces.size)?.values?.toList() == pieces
+        index: Int,
+    ): String? = specPieces[id]?.get(index)
 
     /** Jobs that specifications are kept of apart from main records, whether there is such a job or not. */
     val specsApart: Set<JobId> get() = specPieces.keys
--- a/src/main/kotlin/mintpick/engine/Scheduling.kt
+++ b/src/main/kotlin/mintpick/engine/Scheduling.kt
@@ -23,13 +23,13 @@
 
 /** Orders waiting jobs by fair share and assigns their tasks to machines. */
 class Scheduling(
-    private val kernel: Kernel,
+    private val context: EngineContext,
     private val ownership: Ownership,
     private val fleet: Fleet,
-    private val orders: Orders,
+    private val commandPlanner: CommandPlanner,
     private val observer: Observer,
     private val accounting: Accounting,
-    private val standing: Standing,
+    private val health: ControllerHealth,
     private val preemptor: Preemptor,
     private val operators: Operators,
 ) {
@@ -42,7 +42,7 @@
     /** What one pass works with. */
     private class Pass(
         val changes: Changes,
-        val draftOf: (JobId) -> Draft?,
+        val draftOf: (JobId) -> JobChange?,
         val mine: Placer.Rooms,
         val teams: TeamRoom,
         others: () -> List<Room>,
@@ -56,16 +56,16 @@
         var partsPlaced = false
     }
 
-    private val urgency = JobUrgency(kernel)
-    private val placer = Placer(kernel.random, operators.placementSample)
+    private val urgency = JobUrgency(context)
+    private val placer = Placer(context.random, operators.placementSample)
     private val limits =
-        kernel.settings.teams.associate { team ->
+        context.settings.teams.associate { team ->
             team.name to Resources(orUnlimited(team.cpusMax), orUnlimited(team.gpusMax), TeamRoom.UNLIMITED)
         }
     private val still = HashMap<JobId, Still>()
     private var nextPartsUs: Micros = 0
     private var nextPassUs: Micros = 0
-    private val replica get() = kernel.replica
+    private val replica get() = context.replica
 
     /** Jobs that found no room in the last pass, for the capacity planner and for preemption. */
     var starved: List<Job> = emptyList()
@@ -123,13 +123,13 @@
 
     fun schedule(
         changes: Changes,
-        drafts: Map<JobId, Draft>,
-        draftOf: (JobId) -> Draft?,
+        drafts: Map<JobId, JobChange>,
+        draftOf: (JobId) -> JobChange?,
     ) {
         // What was just observed moves in the same write; otherwise planning more often than this finds nothing new.
         val urgent = drafts.values.any { it.job.waiting > it.before.waiting }
-        if (kernel.now < nextPassUs && !urgent) return
-        nextPassUs = kernel.now + passEvery(replica.waitingJobs().size)
+        if (context.now < nextPassUs && !urgent) return
+        nextPassUs = context.now + passEvery(replica.waitingJobs().size)
         lacksWrites = false
         val waiting = LinkedHashMap<JobId, Job>()
         replica.waitingJobs().forEach { waiting[it.id] = it }
@@ -143,14 +143,14 @@
         val pass = Pass(changes, draftOf, Placer.Rooms.of(ownRooms(changes)), teamRoom()) { othersRooms(changes) }
         pass.hurried = waiting.size > HURRY
         val budget = changes.budget()
-        pass.parts = kernel.now >= nextPartsUs || budget >= plenty
+        pass.parts = context.now >= nextPartsUs || budget >= plenty
         val left = ArrayList<Job>()
         var short = false
         for (job in order(waiting.values)) {
             if (!observer.mayPlace(job.id)) continue
             val startable = startable(job)
             if (startable == 0) continue
-            if (still[job.id]?.version != job.version) still[job.id] = Still(job.version, kernel.now)
+            if (still[job.id]?.version != job.version) still[job.id] = Still(job.version, context.now)
             val free = changes.isFree(job.id)
             val rooms = roomsFor(job, pass)
             // With more to write than the limits allow, batch jobs keep a part of it: one write starts many tasks.
@@ -167,12 +167,12 @@
                 if (placed == 0 && rooms != null && free && mayWrite && teamMayPlace(job, pass)) {
                     short = true
                     // Another controller may have room, for which nobody has to be stopped.
-                    val waitsLong = kernel.now - (still[job.id]?.sinceUs ?: kernel.now) >= SEEK_AFTER
+                    val waitsLong = context.now - (still[job.id]?.sinceUs ?: context.now) >= SEEK_AFTER
                     if (waitsLong && !isFaulty(job)) preemptor.seek(job, rooms, zonesOf(job))
                 }
             }
         }
-        if (pass.partsPlaced) nextPartsUs = kernel.now + PART_EVERY
+        if (pass.partsPlaced) nextPartsUs = context.now + PART_EVERY
         lacksRoom = short
         starved = left
         if (pass.toBorrow.isNotEmpty()) ownership.borrow(pass.toBorrow, fleet::push)
@@ -200,24 +200,24 @@
         pass: Pass,
     ): Placer.Rooms? {
         val home = ownership.home(job.id)
-        val idle = kernel.now - (still[job.id]?.sinceUs ?: kernel.now)
+        val idle = context.now - (still[job.id]?.sinceUs ?: context.now)
         if (ownership.isLeader && isLarge(job, idle)) {
             // Our machines may hold a gang, were they empty, and never be empty at the same time.
             val waitsInVain = job.spec.isGang && idle >= LARGE_AFTER
             if (waitsInVain || !pass.mine.couldHold(job.spec, job.waiting)) return pass.wide
-        } else if (home == kernel.me) {
+        } else if (home == context.me) {
             return pass.mine
         }
         val helpsFirst = Math.floorMod(job.id.text.hashCode(), 2) == if (isNextAfter(home)) 0 else 1
-        if (home == kernel.me) return pass.mine
-        val helps = home == null || (standing.lacksRoom(home) && idle >= (if (helpsFirst) HELP_SOON else HELP_LATE))
+        if (home == context.me) return pass.mine
+        val helps = home == null || (health.lacksRoom(home) && idle >= (if (helpsFirst) HELP_SOON else HELP_LATE))
         return if (helps) pass.mine else null
     }
 
     private fun isNextAfter(home: mintpick.core.NodeId?): Boolean =
-        everybody[(everybody.indexOf(home?.text) + 1) % everybody.size] == kernel.settings.node
+        everybody[(everybody.indexOf(home?.text) + 1) % everybody.size] == context.settings.node
 
-    private val everybody = (kernel.settings.peers.map { it.node } + kernel.settings.node).sorted()
+    private val everybody = (context.settings.peers.map { it.node } + context.settings.node).sorted()
 
     /** Placed whole or not at all, or in vain for a while. */
     private fun isLarge(
@@ -283,14 +283,14 @@
      */
     fun keepsToSpot(job: Job): Boolean {
         if (!job.spec.spot || priorityOf(job) != Priority.LOW || job.spec.estimateS <= SHORT_S) return false
-        return job.placed > 0 || kernel.wall - urgency.readySinceUs(job) < SPOT_PATIENCE
+        return job.placed > 0 || context.wall - urgency.readySinceUs(job) < SPOT_PATIENCE
     }
 
     /** How many of the waiting tasks of [job] may start now: of one that fails wherever it runs a single one, at its home. */
     fun startable(job: Job): Int {
         if (!isFaulty(job)) return job.waiting
         val home = ownership.home(job.id)
-        return if (home == kernel.me || home == null) FailureTracker.probes(job.waiting, job.placed) else 0
+        return if (home == context.me || home == null) FailureTracker.probes(job.waiting, job.placed) else 0
     }
 
     /**
@@ -299,7 +299,7 @@
      */
     private fun isFaulty(job: Job): Boolean {
         if (job.done > 0) return false
-        return observer.failures.isFaulty(job.id) || (!job.spec.isService && standing.isFaultyElsewhere(job.id))
+        return observer.failures.isFaulty(job.id) || (!job.spec.isService && health.isFaultyElsewhere(job.id))
     }
 
     /** Whether there is room for a task of [job]. Gangs need more than that, and say nothing. */
@@ -314,9 +314,9 @@
     }
 
     /** So many writes free, beyond those kept for submissions, that parts of jobs need not wait for each other. */
-    private val plenty = kernel.settings.limits.writeRps / (kernel.settings.peers.size + 1) * PLENTY
+    private val plenty = context.settings.limits.writeRps / (context.settings.peers.size + 1) * PLENTY
 
-    private val maxBorrowed = kernel.settings.limits.transactionOps
+    private val maxBorrowed = context.settings.limits.transactionOps
 
     /** The platform's files say 0 where there is no limit. */
     private fun orUnlimited(limit: Double): Double = if (limit > 0) limit else TeamRoom.UNLIMITED
@@ -349,7 +349,7 @@
 
     /** Room on the other controllers' machines that they have heard from lately. */
     private fun othersRooms(changes: Changes): List<Room> =
-        standing.hintedImages(kernel.settings.reportUs * 2).mapNotNull { (id, images) ->
+        health.hintedImages(context.settings.reportUs * 2).mapNotNull { (id, images) ->
             val known = replica.machines[id] ?: return@mapNotNull null
             val claim = ownership.control(id)
             if (claim != null && !ownership.isMine(claim)) room(known, claim, false, images, changes) else null
@@ -365,7 +365,7 @@
         val type = replica.types[known.record.type]
         if (type == null || known.record.retiring != Retiring.NO || observer.isGone(known.id) || !observer.hasRoom(known.id)) return null
         val view = fleet.view(known.id)
-        if (view != null && orders.isEmptying(view, claim)) return null
+        if (view != null && commandPlanner.isEmptying(view, claim)) return null
         val settling = own && fleet.isSettling(known.id)
         if (own && !settling && !isUsable(view)) return null
         return Room(
--- a/src/main/kotlin/mintpick/engine/StateLink.kt
+++ b/src/main/kotlin/mintpick/engine/StateLink.kt
@@ -33,7 +33,7 @@
  * changes, and carries transactions, all within this controller's part of the request limits.
  */
 class StateLink(
-    private val kernel: Kernel,
+    private val context: EngineContext,
     private val formats: FormatGate,
 ) {
     enum class Phase { LOADING, JOINING, SERVING }
@@ -57,11 +57,11 @@
     var servingSinceUs: Micros = 0
         private set
 
-    private val protocol = StateProtocol(kernel.settings.state.toString())
-    private val controllers = kernel.settings.peers.size + 1
-    private val requests = Bucket(kernel.settings.limits.rps * SHARE / controllers, kernel.settings.limits.rps * SHARE / controllers)
+    private val protocol = StateProtocol(context.settings.state.toString())
+    private val controllers = context.settings.peers.size + 1
+    private val requests = Bucket(context.settings.limits.rps * SHARE / controllers, context.settings.limits.rps * SHARE / controllers)
     private val writes =
-        Bucket(kernel.settings.limits.writeRps * WRITE_SHARE / controllers, kernel.settings.limits.writeRps * WRITE_SHARE / controllers)
+        Bucket(context.settings.limits.writeRps * WRITE_SHARE / controllers, context.settings.limits.writeRps * WRITE_SHARE / controllers)
     private var busy = false
     private var followOpen = false
     private var leaseBusy = false
@@ -84,12 +84,12 @@
      */
     val transactionsOpen: Int
         get() {
-            val answerable = openSince.values.count { sent -> kernel.now - sent < ANSWER_LATE || (lastServedUs ?: 0) <= sent }
+            val answerable = openSince.values.count { sent -> context.now - sent < ANSWER_LATE || (lastServedUs ?: 0) <= sent }
             return maxOf(answerable, openSince.size - MOST_LOST)
         }
 
     /** False from the first failure on until something is served again. */
-    val reachable: Boolean get() = (lastServedUs ?: -1) >= lastFailedUs || kernel.now - (lastServedUs ?: 0) < GRACE
+    val reachable: Boolean get() = (lastServedUs ?: -1) >= lastFailedUs || context.now - (lastServedUs ?: 0) < GRACE
 
     val serving: Boolean get() = phase == Phase.SERVING
 
@@ -97,7 +97,7 @@
     val hasLoaded: Boolean get() = phase != Phase.LOADING
 
     fun tick() {
-        val now = kernel.now
+        val now = context.now
         when (phase) {
             Phase.LOADING -> if (!busy && now >= nextLoadUs) load()
             Phase.JOINING -> if (!busy && now >= nextLoadUs) join()
@@ -110,9 +110,9 @@
 
     /** Keeps [recordsKnownUs] recent while nobody asks: how long workers may be answered in an outage depends on it. */
     private fun refresh() {
-        if (phase == Phase.LOADING || kernel.now < nextRefreshUs) return
-        nextRefreshUs = kernel.now + REFRESH_EVERY
-        if (kernel.now - (recordsKnownUs ?: 0) >= REFRESH_EVERY / 2) catchUpWaiters += { }
+        if (phase == Phase.LOADING || context.now < nextRefreshUs) return
+        nextRefreshUs = context.now + REFRESH_EVERY
+        if (context.now - (recordsKnownUs ?: 0) >= REFRESH_EVERY / 2) catchUpWaiters += { }
     }
 
     private fun recordsKnown(sentUs: Micros) {
@@ -130,12 +130,12 @@
         listOf(50.0, 90.0, 99.0, 100.0).associate { "p${it.toInt()}" to latency.getValueAtPercentile(it).toDouble() / MILLI }
 
     private fun served(sentUs: Micros) {
-        latency.recordValue((kernel.now - sentUs).coerceIn(1, LATENCY_MAX))
+        latency.recordValue((context.now - sentUs).coerceIn(1, LATENCY_MAX))
         lastServedUs = maxOf(lastServedUs ?: 0, sentUs)
     }
 
     private fun failed() {
-        lastFailedUs = kernel.now
+        lastFailedUs = context.now
     }
 
     private fun note(
@@ -156,52 +156,52 @@
 
     private fun loadPage() {
         busy = true
-        val sent = kernel.now
+        val sent = context.now
         requests.force(sent, 1.0)
-        kernel.call(protocol.page(loading.lastKey, PAGE)) { outcome ->
+        context.call(protocol.page(loading.lastKey, PAGE)) { outcome ->
             val result = protocol.readPage(outcome)
             note(sent, result)
             busy = false
-            if (result is StateResult.Ok) loaded(result.value) else nextLoadUs = kernel.now + RETRY
+            if (result is StateResult.Ok) loaded(result.value) else nextLoadUs = context.now + RETRY
         }
     }
 
     private fun loaded(page: ItemPage) {
-        page.items.forEach { kernel.replica.apply(it.key, it.value, it.version) }
+        page.items.forEach { context.replica.apply(it.key, it.value, it.version) }
         val firstRevision = loading.firstRevision ?: page.revision.also { loading.firstRevision = it }
         if (page.more && page.items.isNotEmpty()) {
             loading.lastKey = page.items.last().key
             return load()
         }
         // Pages are not one moment: the watch starts at the first page's revision and repeats what changed meanwhile.
-        kernel.replica.reached(firstRevision)
+        context.replica.reached(firstRevision)
         loading.hasAllPages = true
         if (loading.lastKey == null) endLoad() else load()
     }
 
     private fun endLoad() {
         phase = if (lease == null) Phase.JOINING else Phase.SERVING
-        LOG.info("loaded revision={} jobs={}", kernel.replica.revision, kernel.replica.jobs.size)
+        LOG.info("loaded revision={} jobs={}", context.replica.revision, context.replica.jobs.size)
     }
 
     /** With several pages nobody serves before that: a guard from a later page would hold although changes from before it are not known. */
     private fun closeLoad() {
         busy = true
-        val sent = kernel.now
+        val sent = context.now
         requests.force(sent, 1.0)
-        kernel.call(protocol.follow(kernel.replica.revision, 0)) { outcome ->
+        context.call(protocol.follow(context.replica.revision, 0)) { outcome ->
             val result = protocol.readEvents(outcome)
             note(sent, result)
             busy = false
-            if (take(result)) endLoad() else nextLoadUs = kernel.now + RETRY
+            if (take(result)) endLoad() else nextLoadUs = context.now + RETRY
         }
     }
 
     private fun join() {
         busy = true
-        val sent = kernel.now
+        val sent = context.now
         requests.force(sent, 1.0)
-        kernel.call(protocol.grant(LEASE_TTL)) { outcome ->
+        context.call(protocol.grant(LEASE_TTL)) { outcome ->
             val result = protocol.readLease(outcome)
             note(sent, result)
             busy = false
@@ -210,15 +210,15 @@
                 nextTouchUs = sent + TOUCH_EVERY
                 register(result.value.lease)
             } else {
-                nextLoadUs = kernel.now + RETRY
+                nextLoadUs = context.now + RETRY
             }
         }
     }
 
     private fun register(lease: Long) {
         busy = true
-        val key = Keys.node(kernel.me.text)
-        val record = NodeRecord(kernel.me.text, lease, kernel.wall)
+        val key = Keys.node(context.me.text)
+        val record = NodeRecord(context.me.text, lease, context.wall)
         val write = Write(key, WireJson.encodeToJsonElement(NodeRecord.serializer(), record), leased = true)
         // Unguarded: whatever an earlier process of this name left behind is over.
         transact(emptyList(), listOfNotNull(write, formats.announcement())) { result ->
@@ -226,13 +226,13 @@
             if (result is TransactionResult.Committed) {
                 // A load that began meanwhile serves at its own end.
                 if (phase == Phase.JOINING) {
-                    servingSinceUs = kernel.now
+                    servingSinceUs = context.now
                     phase = Phase.SERVING
                 }
                 LOG.info("joined lease={} revision={}", lease, result.revision)
             } else {
                 if (phase == Phase.JOINING) this.lease = null
-                nextLoadUs = kernel.now + RETRY
+                nextLoadUs = context.now + RETRY
             }
         }
     }
@@ -240,22 +240,22 @@
     private fun renew() {
         val lease = lease ?: return
         // A late write of an earlier registration may have hung our record on a lease that is over.
-        if (!busy && kernel.replica.nodes[kernel.me]?.lease != lease && kernel.now >= nextLoadUs) {
-            nextLoadUs = kernel.now + SECOND
+        if (!busy && context.replica.nodes[context.me]?.lease != lease && context.now >= nextLoadUs) {
+            nextLoadUs = context.now + SECOND
             register(lease)
             return
         }
-        if (leaseBusy || kernel.now < nextTouchUs) return
+        if (leaseBusy || context.now < nextTouchUs) return
         leaseBusy = true
-        val sent = kernel.now
+        val sent = context.now
         nextTouchUs = sent + TOUCH_EVERY
         requests.force(sent, 1.0)
-        kernel.call(protocol.touch(lease)) { outcome ->
+        context.call(protocol.touch(lease)) { outcome ->
             leaseBusy = false
             val result = protocol.readTouch(outcome)
             note(sent, result)
             if (result is StateResult.Gone && this.lease == lease) leaseLost("expired")
-            if (result is StateResult.Limited) nextTouchUs = kernel.now + RETRY
+            if (result is StateResult.Limited) nextTouchUs = context.now + RETRY
         }
     }
 
@@ -269,20 +269,20 @@
 
     /** The process stood still: a lease that was not renewed within its time may be over, and what hangs on it taken. */
     fun stoodStill() {
-        if (kernel.now - (lastServedUs ?: 0) > LEASE_TTL) leaseLost("stood still")
+        if (context.now - (lastServedUs ?: 0) > LEASE_TTL) leaseLost("stood still")
     }
 
     private fun follow() {
         followOpen = true
-        val copy = kernel.replica
-        val sent = kernel.now
-        kernel.call(protocol.follow(kernel.replica.revision, FOLLOW_WAIT)) { outcome ->
-            if (copy === kernel.replica) {
+        val copy = context.replica
+        val sent = context.now
+        context.call(protocol.follow(context.replica.revision, FOLLOW_WAIT)) { outcome ->
+            if (copy === context.replica) {
                 followOpen = false
                 val result = protocol.readEvents(outcome)
                 // A watch stays open through an outage, so only its answer says that the service serves.
-                if (result is StateResult.Ok) lastServedUs = maxOf(lastServedUs ?: 0, kernel.now - MILLI) else note(sent, result)
-                nextFollowUs = kernel.now + if (result is StateResult.Ok) FOLLOW_GAP else RETRY
+                if (result is StateResult.Ok) lastServedUs = maxOf(lastServedUs ?: 0, context.now - MILLI) else note(sent, result)
+                nextFollowUs = context.now + if (result is StateResult.Ok) FOLLOW_GAP else RETRY
                 if (take(result)) recordsKnown(sent)
             }
         }
@@ -290,8 +290,8 @@
 
     private fun take(result: StateResult<EventPage>): Boolean {
         if (result is StateResult.Gone) {
-            LOG.warn("watch too old revision={}", kernel.replica.revision)
-            kernel.forgetReplica()
+            LOG.warn("watch too old revision={}", context.replica.revision)
+            context.forgetReplica()
             recordsKnownUs = null
             nextRefreshUs = 0
             phase = Phase.LOADING
@@ -303,9 +303,9 @@
         // In whichever order they are told, a job has to be known before its chunks.
         for (event in result.value.events.sortedBy { Keys.isChunk((it.put ?: it.delete).orEmpty()) }) {
             val key = event.put ?: event.delete ?: continue
-            kernel.replica.apply(key, if (event.put != null) event.value else null, event.version)
+            context.replica.apply(key, if (event.put != null) event.value else null, event.version)
         }
-        kernel.replica.reached(result.value.revision)
+        context.replica.reached(result.value.revision)
         return true
     }
 
@@ -319,34 +319,34 @@
     }
 
     private fun startCatchUp() {
-        if (catchUpBusy || catchUpWaiters.isEmpty() || kernel.now < nextCatchUpUs) return
+        if (catchUpBusy || catchUpWaiters.isEmpty() || context.now < nextCatchUpUs) return
         if (phase == Phase.LOADING) {
             catchUpWaiters.also { catchUpWaiters = ArrayList() }.forEach { it(false) }
             return
         }
-        if (!requests.take(kernel.now, 1.0)) return
+        if (!requests.take(context.now, 1.0)) return
         catchUpBusy = true
         val waiters = catchUpWaiters
         catchUpWaiters = ArrayList()
-        val sent = kernel.now
-        val copy = kernel.replica
+        val sent = context.now
+        val copy = context.replica
         nextCatchUpUs = sent + CATCH_UP_GAP
-        kernel.call(protocol.follow(kernel.replica.revision, 0)) { outcome ->
+        context.call(protocol.follow(context.replica.revision, 0)) { outcome ->
             catchUpBusy = false
             val result = protocol.readEvents(outcome)
             note(sent, result)
             // From before the records were read anew it says nothing of the new copy.
-            val ok = copy === kernel.replica && take(result)
+            val ok = copy === context.replica && take(result)
             if (ok) recordsKnown(sent)
             waiters.forEach { it(ok) }
         }
     }
 
     /** Whether a transaction may leave, whatever others have used of the writes. */
-    val mayWrite: Boolean get() = lease != null && kernel.now >= backOffUntil && requests.available(kernel.now) >= 1
+    val mayWrite: Boolean get() = lease != null && context.now >= backOffUntil && requests.available(context.now) >= 1
 
     /** How many writes the limits allow now; transactions above it wait. */
-    fun writesAllowed(): Int = if (mayWrite) writes.available(kernel.now).toInt() else 0
+    fun writesAllowed(): Int = if (mayWrite) writes.available(context.now).toInt() else 0
 
     /**
      * Sends a transaction. What it writes is in the replica when [then] hears that it was committed. If the records were
@@ -368,13 +368,13 @@
                     Change(put = it.key, value = it.value, lease = if (it.leased) lease else null)
                 }
             }
-        requests.force(kernel.now, 1.0)
-        writes.force(kernel.now, changes.size.toDouble())
-        val sent = kernel.now
+        requests.force(context.now, 1.0)
+        writes.force(context.now, changes.size.toDouble())
+        val sent = context.now
         val number = ++lastTransaction
         openSince[number] = sent
-        val copy = kernel.replica
-        kernel.call(protocol.transact(Transaction(guards, wire))) { outcome ->
+        val copy = context.replica
+        context.call(protocol.transact(Transaction(guards, wire))) { outcome ->
             openSince.remove(number)
             val result = protocol.readTransaction(outcome)
             when (result) {
@@ -391,13 +391,13 @@
                     LOG.error("transaction too large changes={} guards={} largest_value={}", changes.size, guards.size, largest)
                 }
                 TransactionResult.Refused -> {
-                    backOffUntil = kernel.now + BACK_OFF + kernel.random.nextLong(BACK_OFF)
+                    backOffUntil = context.now + BACK_OFF + context.random.nextLong(BACK_OFF)
                     if ((outcome as? mintpick.net.Outcome.Answered)?.status != LIMITED) failed()
                 }
                 TransactionResult.Unknown -> failed()
             }
             // The new copy may not show it yet, and what is told of it must be in the records.
-            then(if (copy === kernel.replica) result else TransactionResult.Unknown)
+            then(if (copy === context.replica) result else TransactionResult.Unknown)
         }
     }
 
--- a/src/main/kotlin/mintpick/engine/Supply.kt
+++ b/src/main/kotlin/mintpick/engine/Supply.kt
@@ -21,16 +21,16 @@
 
 /** The leader's policy: how much room to keep, what to rent for it, and what to return. */
 class Supply(
-    private val kernel: Kernel,
+    private val context: EngineContext,
     private val link: StateLink,
     private val ownership: Ownership,
     private val fleet: Fleet,
     private val observer: Observer,
     private val capacity: Capacity,
-    private val roster: Roster,
-    private val orders: Orders,
+    private val machineRegistry: MachineRegistry,
+    private val commandPlanner: CommandPlanner,
     private val scheduling: Scheduling,
-    private val standing: Standing,
+    private val health: ControllerHealth,
     private val operators: Operators,
 ) {
     /** What has been seen of one class of jobs. */
@@ -47,18 +47,18 @@
     private var nextUs: Micros = 0
     private var nextLogUs: Micros = 0
 
-    private val replica get() = kernel.replica
+    private val replica get() = context.replica
 
     fun tick() {
-        if (!link.serving || kernel.now < nextUs) return
-        nextUs = kernel.now + TICK + TICK * replica.machines.size / MANY
+        if (!link.serving || context.now < nextUs) return
+        nextUs = context.now + TICK + TICK * replica.machines.size / MANY
         watchClasses()
         watchIdle()
         watchHealth()
         // A leader that the state service does not serve has perhaps been replaced already.
-        if (!ownership.isLeader || !standing.healthy() || replica.types.isEmpty() || kernel.now - link.servingSinceUs < SETTLE) return
+        if (!ownership.isLeader || !health.healthy() || replica.types.isEmpty() || context.now - link.servingSinceUs < SETTLE) return
         logFleet()
-        val shopper = Shopper(replica.types, kernel.settings.zones, capacity::isTroubled, capacity::available)
+        val shopper = Shopper(replica.types, context.settings.zones, capacity::isTroubled, capacity::available)
         val rooms = rooms()
         val plan = shopper.plan(rooms, (waiting(rooms) + expected()).sortedBy { !it.spec.isService }, MAX_NEW)
         // The most needed first: requests are few.
@@ -73,8 +73,8 @@
      * there, and their records follow seconds later: what the records show beyond a machine's size has nearly all ended.
      */
     private fun logFleet() {
-        if (kernel.now < nextLogUs) return
-        nextLogUs = kernel.now + LOG_EVERY
+        if (context.now < nextLogUs) return
+        nextLogUs = context.now + LOG_EVERY
         for (spot in listOf(true, false)) {
             val machines = replica.machines.values.filter { it.record.spot == spot && !observer.isGone(it.id) }
             val cpus = machines.sumOf { replica.types[it.record.type]?.cpus ?: 0.0 }
@@ -106,9 +106,9 @@
             wanted.merge(job.spec.jobClass, usable(job, teams) + job.placed, Int::plus)
         }
         for ((name, seen) in classes) {
-            seen.history.addLast(kernel.now to (wanted[name] ?: 0))
+            seen.history.addLast(context.now to (wanted[name] ?: 0))
             while (seen.history.isNotEmpty() &&
-                kernel.now - seen.history.first().first > operators.batchMemoryUs
+                context.now - seen.history.first().first > operators.batchMemoryUs
             ) {
                 seen.history.removeFirst()
             }
@@ -123,7 +123,7 @@
 
     private fun watchIdle() {
         for (id in replica.machines.keys) {
-            if (replica.tasksOn(id).isEmpty()) idleSince.putIfAbsent(id, kernel.now) else idleSince.remove(id)
+            if (replica.tasksOn(id).isEmpty()) idleSince.putIfAbsent(id, context.now) else idleSince.remove(id)
         }
         idleSince.keys.retainAll(replica.machines.keys)
     }
@@ -136,7 +136,7 @@
                 val lost =
                     fleet.view(machine.id)?.let {
                         ownership.controls(machine.id) &&
-                            (!fleet.isFresh(it) || orders.isEmptying(it, ownership.control(it.id)))
+                            (!fleet.isFresh(it) || commandPlanner.isEmptying(it, ownership.control(it.id)))
                     }
                         ?: false
                 if (type == null || machine.record.retiring != Retiring.NO || observer.isGone(machine.id) || lost) {
@@ -221,7 +221,7 @@
 
     /** Seconds within which the settings expect jobs of a class to be finished, at the tightest. */
     private val expectation: Map<String?, Double> =
-        kernel.settings.objectives
+        context.settings.objectives
             .filter { it.kind == "finished" && it.withinS > 0 }
             .groupBy { it.jobClass }
             .mapValues { (_, aims) -> aims.minOf { it.withinS } }
@@ -232,7 +232,7 @@
             val now = seen.history.lastOrNull()?.second ?: 0
             if (seen.spec.isService) {
                 val spare = maxOf(seen.largest, ceil(now * operators.serviceHeadroom).toInt())
-                val spec = seen.spec.copy(tasks = spare * 2, spread = kernel.settings.zones.size > 1, zone = null)
+                val spec = seen.spec.copy(tasks = spare * 2, spread = context.settings.zones.size > 1, zone = null)
                 Shopper.Want(spec, spare * 2)
             } else {
                 val peak = seen.history.maxOfOrNull { it.second } ?: 0
@@ -249,24 +249,24 @@
 
     private fun returnIdle(unused: Set<MachineId>) {
         // One whose mark waits to be written would be picked again and again, and keep the others from being returned.
-        val idle = unused.mapNotNull { replica.machines[it] }.filterNot { roster.isMarked(it.id) }.sortedBy { it.id.text }
+        val idle = unused.mapNotNull { replica.machines[it] }.filterNot { machineRegistry.isMarked(it.id) }.sortedBy { it.id.text }
         val (spot, ordinary) = idle.partition { it.record.spot }
         // Ordinary machines cost several times as much: beyond a few that may soon be wanted again they go early.
         val due =
             ordinary.drop(KEPT).filter { isIdleFor(it, operators.idleUs / EARLY) } +
                 (ordinary.take(KEPT) + spot).filter { isIdleFor(it, operators.idleUs) }
-        due.take(maxOf(2, due.size / RETURN_PART)).forEach { roster.retire(it.id, Retiring.DRAIN, "idle") }
+        due.take(maxOf(2, due.size / RETURN_PART)).forEach { machineRegistry.retire(it.id, Retiring.DRAIN, "idle") }
     }
 
     private fun isIdleFor(
         known: KnownMachine,
         span: Micros,
-    ): Boolean = kernel.now - (idleSince[known.id] ?: kernel.now) >= span
+    ): Boolean = context.now - (idleSince[known.id] ?: context.now) >= span
 
     /** Each controller empties the faulty ones among its machines: only it sees what fails there. */
     private fun watchHealth() {
-        if (!standing.healthy()) return
-        observer.failures.faultyMachines().forEach { roster.retire(it, Retiring.DRAIN, "errors") }
+        if (!health.healthy()) return
+        observer.failures.faultyMachines().forEach { machineRegistry.retire(it, Retiring.DRAIN, "errors") }
     }
 
     companion object {
--- a/src/main/kotlin/mintpick/engine/Desk.kt
+++ b/src/main/kotlin/mintpick/engine/UserRequests.kt
@@ -21,8 +21,8 @@
 import mintpick.wire.WireJson
 
 /** The users' requests: each is answered once, from records that are new enough, or refused at once. */
-class Desk(
-    private val kernel: Kernel,
+class UserRequests(
+    private val context: EngineContext,
     private val link: StateLink,
     private val formats: FormatGate,
 ) {
@@ -38,10 +38,10 @@
     val submissions = LinkedHashMap<JobId, Pending>()
     val cancellations = LinkedHashMap<JobId, Pending>()
 
-    private val replica get() = kernel.replica
+    private val replica get() = context.replica
 
     /** What can be stored soon; more would only wait for an answer that can't come in time, so it is refused at once. */
-    private val maxPending = maxOf(MIN_PENDING, (kernel.settings.limits.writeRps / (kernel.settings.peers.size + 1) * PENDING_S).toInt())
+    private val maxPending = maxOf(MIN_PENDING, (context.settings.limits.writeRps / (context.settings.peers.size + 1) * PENDING_S).toInt())
 
     fun submit(
         spec: JobSpec,
@@ -50,11 +50,11 @@
         val id = JobId(spec.id)
         val over = replica.final(id)
         when {
-            over != null -> kernel.send(reply, stageAnswer(id, stageOf(over.stage)))
-            !link.serving || !link.reachable -> kernel.send(reply, busy("the state service does not answer"))
-            replica.types.isEmpty() -> kernel.send(reply, busy("machine types are not known yet"))
+            over != null -> context.send(reply, stageAnswer(id, stageOf(over.stage)))
+            !link.serving || !link.reachable -> context.send(reply, busy("the state service does not answer"))
+            replica.types.isEmpty() -> context.send(reply, busy("machine types are not known yet"))
             replica.job(id) != null -> current(id, reply)
-            submissions.size >= maxPending -> kernel.send(reply, errorAnswer(TOO_MANY, "too many submissions", RETRY_S))
+            submissions.size >= maxPending -> context.send(reply, errorAnswer(TOO_MANY, "too many submissions", RETRY_S))
             else -> {
                 val refusal = refusal(spec)
                 when {
@@ -73,7 +73,7 @@
         spec: JobSpec,
         reply: ReplyTo,
     ) {
-        submissions.getOrPut(JobId(spec.id)) { Pending(spec, kernel.now) }.replies += reply
+        submissions.getOrPut(JobId(spec.id)) { Pending(spec, context.now) }.replies += reply
     }
 
     /**
@@ -87,11 +87,11 @@
         val id = JobId(spec.id)
         val unknown = spec.predecessorIds.filterNot(replica::knows)
         when {
-            !ok -> kernel.send(reply, busy("the state service does not answer"))
-            replica.knows(id) -> kernel.send(reply, stageAnswer(id, statusOf(id)?.stage ?: JobStage.QUEUED))
+            !ok -> context.send(reply, busy("the state service does not answer"))
+            replica.knows(id) -> context.send(reply, stageAnswer(id, statusOf(id)?.stage ?: JobStage.QUEUED))
             unknown.isEmpty() -> admit(spec, reply)
-            unknown.any { it in submissions } -> kernel.send(reply, busy("waits_on: a job is being stored"))
-            else -> kernel.send(reply, errorAnswer(UNPROCESSABLE, "waits_on: ${unknown.first().text} was never accepted"))
+            unknown.any { it in submissions } -> context.send(reply, busy("waits_on: a job is being stored"))
+            else -> context.send(reply, errorAnswer(UNPROCESSABLE, "waits_on: ${unknown.first().text} was never accepted"))
         }
     }
 
@@ -103,7 +103,7 @@
     ) {
         val over = replica.final(id)
         if (over != null) {
-            kernel.send(reply, stageAnswer(id, stageOf(over.stage)))
+            context.send(reply, stageAnswer(id, stageOf(over.stage)))
         } else {
             lookUp(id, reply) { errorAnswer(BAD_REQUEST, reason) }
         }
@@ -121,7 +121,7 @@
         otherwise: () -> Answer,
     ) = link.caughtUp { ok ->
         val known = statusOf(id)
-        kernel.send(
+        context.send(
             reply,
             when {
                 !ok -> busy("the state service does not answer")
@@ -137,10 +137,10 @@
     ) {
         val over = replica.final(id)
         if (over != null) {
-            kernel.send(reply, statusAnswer(statusOf(id)))
+            context.send(reply, statusAnswer(statusOf(id)))
             return
         }
-        link.caughtUp { ok -> kernel.send(reply, if (ok) statusAnswer(statusOf(id)) else busy("the state service does not answer")) }
+        link.caughtUp { ok -> context.send(reply, if (ok) statusAnswer(statusOf(id)) else busy("the state service does not answer")) }
     }
 
     private fun statusAnswer(status: JobStatus?): Answer =
@@ -156,15 +156,15 @@
     ) {
         val over = replica.final(id)
         when {
-            over != null -> kernel.send(reply, stageAnswer(id, stageOf(over.stage)))
-            !link.serving || !link.reachable -> kernel.send(reply, busy("the state service does not answer"))
-            replica.job(id)?.stage == StoredStage.CANCELLED -> kernel.send(reply, stageAnswer(id, JobStage.CANCELLED))
+            over != null -> context.send(reply, stageAnswer(id, stageOf(over.stage)))
+            !link.serving || !link.reachable -> context.send(reply, busy("the state service does not answer"))
+            replica.job(id)?.stage == StoredStage.CANCELLED -> context.send(reply, stageAnswer(id, JobStage.CANCELLED))
             else ->
                 link.caughtUp { ok ->
                     when {
-                        !ok -> kernel.send(reply, busy("the state service does not answer"))
-                        replica.knows(id) -> cancellations.getOrPut(id) { Pending(null, kernel.now) }.replies += reply
-                        else -> kernel.send(reply, errorAnswer(NOT_FOUND, "no such job"))
+                        !ok -> context.send(reply, busy("the state service does not answer"))
+                        replica.knows(id) -> cancellations.getOrPut(id) { Pending(null, context.now) }.replies += reply
+                        else -> context.send(reply, errorAnswer(NOT_FOUND, "no such job"))
                     }
                 }
         }
@@ -189,8 +189,8 @@
             if (decided(id)) {
                 waiting.replies.forEach { current(id, it) }
                 entries.remove()
-            } else if (!link.reachable || kernel.now - waiting.sinceUs > PATIENCE) {
-                waiting.replies.forEach { kernel.send(it, busy("could not be stored in time")) }
+            } else if (!link.reachable || context.now - waiting.sinceUs > PATIENCE) {
+                waiting.replies.forEach { context.send(it, busy("could not be stored in time")) }
                 entries.remove()
             }
         }
@@ -200,12 +200,12 @@
         // The answer to the write may come after the watch has told what became of the job.
         val stage = statusOf(id)?.stage ?: JobStage.QUEUED
         submissions.remove(id)?.replies?.forEachIndexed { i, reply ->
-            kernel.send(reply, stageAnswer(id, stage, if (i == 0) CREATED else OK))
+            context.send(reply, stageAnswer(id, stage, if (i == 0) CREATED else OK))
         }
     }
 
     fun cancelled(id: JobId) {
-        cancellations.remove(id)?.replies?.forEach { kernel.send(it, stageAnswer(id, JobStage.CANCELLED)) }
+        cancellations.remove(id)?.replies?.forEach { context.send(it, stageAnswer(id, JobStage.CANCELLED)) }
     }
 
     private fun stageAnswer(
@@ -235,7 +235,7 @@
 
     /** Why a job can never run, or null. */
     private fun refusal(spec: JobSpec): String? {
-        val team = kernel.settings.teams.firstOrNull { it.name == spec.team } ?: return "unknown team"
+        val team = context.settings.teams.firstOrNull { it.name == spec.team } ?: return "unknown team"
         val fits =
             replica.types.values.any { type ->
                 (spec.types == null || type.name in spec.types) &&
@@ -254,7 +254,7 @@
     private fun canBeStored(spec: JobSpec): Boolean {
         if (spec.predecessors.orEmpty().size + spec.types.orEmpty().size < MANY_NAMES) return true
         if (!formats.allowsDependencies) return SpecPieces.split(spec, formats.valueBytes).size <= 1
-        return SpecPieces.split(spec, formats.valueBytes).size < TransactionLimits(kernel.settings.limits.transactionOps).guards - 1
+        return SpecPieces.split(spec, formats.valueBytes).size < TransactionLimits(context.settings.limits.transactionOps).guards - 1
     }
 
     private fun busy(message: String): Answer = errorAnswer(UNAVAILABLE, message, RETRY_S)
--- a/src/main/kotlin/mintpick/net/HttpCaller.kt
+++ b/src/main/kotlin/mintpick/net/HttpCaller.kt
@@ -47,10 +47,10 @@
 
     private fun perform(call: Call): Outcome {
         val address = call.target.address
-        var line: Line? = null
+        var line: PooledConnection? = null
         var sent = false
         try {
-            val open = idle.take(address) ?: Line.open(address, minOf(call.timeoutUs / MILLI, CONNECT_TIMEOUT_MS).toInt())
+            val open = idle.take(address) ?: PooledConnection.open(address, minOf(call.timeoutUs / MILLI, CONNECT_TIMEOUT_MS).toInt())
             line = open
             sent = true
             val answer = open.exchange(call)
--- a/src/main/kotlin/mintpick/net/Line.kt
+++ b/src/main/kotlin/mintpick/net/PooledConnection.kt
@@ -18,7 +18,7 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 /** One open connection to a server, used by one call at a time. */
-internal class Line private constructor(
+internal class PooledConnection private constructor(
     private val address: String,
     private val connection: DefaultBHttpClientConnection,
 ) {
@@ -70,12 +70,12 @@
         fun open(
             address: String,
             timeoutMs: Int,
-        ): Line {
+        ): PooledConnection {
             val socket = Socket()
             try {
                 socket.tcpNoDelay = true
                 socket.connect(InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt()), timeoutMs)
-                return Line(address, DefaultBHttpClientConnection(CONFIG).apply { bind(socket) })
+                return PooledConnection(address, DefaultBHttpClientConnection(CONFIG).apply { bind(socket) })
             } catch (e: IOException) {
                 socket.close()
                 throw e
@@ -88,10 +88,10 @@
 internal class IdleLines(
     private val nowNs: () -> Long = System::nanoTime,
 ) {
-    private val byAddress = ConcurrentHashMap<String, ConcurrentLinkedDeque<Line>>()
+    private val byAddress = ConcurrentHashMap<String, ConcurrentLinkedDeque<PooledConnection>>()
     private val given = AtomicInteger()
 
-    fun take(address: String): Line? {
+    fun take(address: String): PooledConnection? {
         val lines = byAddress[address] ?: return null
         while (true) {
             val line = lines.pollFirst() ?: return null
@@ -102,7 +102,7 @@
 
     fun give(
         address: String,
-        line: Line,
+        line: PooledConnection,
     ) {
         line.idleSinceNs = nowNs()
         // In one step with the removal of what is empty: a line put into a removed queue would never be closed.
--- a/src/test/kotlin/mintpick/engine/StandingTest.kt
+++ b/src/test/kotlin/mintpick/engine/ControllerHealthTest.kt
@@ -20,21 +20,21 @@
 import org.junit.jupiter.api.Test
 import java.util.SplittableRandom
 
-/** One controller's parts that judge its own standing, before a stand-in of the state service. */
-class StandingTest {
+/** One controller's parts that judge its own health, before a stand-in of the state service. */
+class ControllerHealthTest {
     private class Controller(
         val state: SimState = SimState(),
     ) {
-        private val kernel = Kernel(Samples.settings(0), SplittableRandom(1))
-        private val link = StateLink(kernel, FormatGate(kernel))
-        val ownership = Ownership(kernel, link)
-        val standing = Standing(kernel, link)
+        private val context = EngineContext(Samples.settings(0), SplittableRandom(1))
+        private val link = StateLink(context, FormatGate(context))
+        val ownership = Ownership(context, link)
+        val health = ControllerHealth(context, link)
         private val answers = ArrayList<Pair<Long, Outcome>>()
         var connected = true
         var servesLeasesOnly = false
         var now: Micros = 0
 
-        val replica get() = kernel.replica
+        val replica get() = context.replica
         val serving get() = link.serving
 
         fun run(span: Micros) {
@@ -44,13 +44,13 @@
 
         fun step() {
             now += STEP
-            kernel.begin(now, now)
+            context.begin(now, now)
             state.tick(now)
-            answers.toList().also { answers.clear() }.forEach { (id, outcome) -> kernel.callDone(id, outcome) }
+            answers.toList().also { answers.clear() }.forEach { (id, outcome) -> context.callDone(id, outcome) }
             link.tick()
-            standing.tick()
+            health.tick()
             ownership.tick()
-            for (effect in kernel.takeEffects()) {
+            for (effect in context.takeEffects()) {
                 if (effect !is Effect.Start || !connected) continue
                 val call = effect.call
                 if (servesLeasesOnly && !call.path.startsWith("/leases")) continue
@@ -65,7 +65,7 @@
             node: String,
             stateAgeUs: Micros,
             cancelled: List<String> = emptyList(),
-        ) = standing.onHint(PeerHint(node, stateAgeUs, cancelled = cancelled, cancelledIsComplete = true))
+        ) = health.onHint(PeerHint(node, stateAgeUs, cancelled = cancelled, cancelledIsComplete = true))
 
         /** A peer answers a hint of ours that left [agoUs] ago. */
         fun hearAnswer(
@@ -73,7 +73,7 @@
             stateAgeUs: Micros,
             agoUs: Micros = 0,
             hasLoaded: Boolean = true,
-        ) = standing.onAnsweredHint(PeerHint(node, stateAgeUs, cancelledIsComplete = hasLoaded), now - agoUs)
+        ) = health.onAnsweredHint(PeerHint(node, stateAgeUs, cancelledIsComplete = hasLoaded), now - agoUs)
 
         /** For how long workers are answered while [hear] is called each second, in [seconds]. */
         fun answersWorkersFor(
@@ -85,7 +85,7 @@
             repeat(seconds) { second ->
                 run(SECOND)
                 hear(second + 1)
-                if (standing.mayAnswerWorkers()) answeredUntil = now - from
+                if (health.mayAnswerWorkers()) answeredUntil = now - from
             }
             return answeredUntil
         }
@@ -94,7 +94,7 @@
     private fun cutOff() =
         Controller().apply {
             run(5 * SECOND)
-            assertTrue(serving && standing.mayAnswerWorkers() && standing.up())
+            assertTrue(serving && health.mayAnswerWorkers() && health.up())
             connected = false
         }
 
@@ -103,10 +103,10 @@
     fun `workers are handed over when a peer is served and we are not`() {
         val controller = cutOff()
         controller.run(5 * SECOND)
-        assertTrue(controller.standing.mayAnswerWorkers(), "nobody else is known to do better")
+        assertTrue(controller.health.mayAnswerWorkers(), "nobody else is known to do better")
         controller.hear("node-1", SECOND / 10)
-        assertFalse(controller.standing.mayAnswerWorkers())
-        assertFalse(controller.standing.up())
+        assertFalse(controller.health.mayAnswerWorkers())
+        assertFalse(controller.health.up())
     }
 
     /** In an outage for all, sending workers away would spend their leases on controllers that are no better off. */
@@ -117,8 +117,8 @@
             controller.run(SECOND)
             controller.hearAnswer("node-1", -1)
             controller.hearAnswer("node-2", (it + 1) * SECOND)
-            assertTrue(controller.standing.mayAnswerWorkers())
-            assertTrue(controller.standing.up())
+            assertTrue(controller.health.mayAnswerWorkers())
+            assertTrue(controller.health.up())
         }
     }
 
@@ -169,9 +169,9 @@
         controller.hearAnswer("node-2", 10 * SECOND)
         val bound = settings.cancelUs - settings.leaseUs - 5 * SECOND
         controller.run(bound - 3 * SECOND)
-        assertTrue(controller.standing.mayAnswerWorkers())
+        assertTrue(controller.health.mayAnswerWorkers())
         controller.run(3 * SECOND)
-        assertFalse(controller.standing.mayAnswerWorkers())
+        assertFalse(controller.health.mayAnswerWorkers())
     }
 
     /** Lease renewals tell nothing of the records: cancellations that these do not show may have been confirmed meanwhile. */
@@ -189,8 +189,8 @@
         val controller = cutOff()
         controller.run(5 * SECOND)
         controller.hear("node-1", 4 * SECOND, listOf("req-000007"))
-        assertTrue(controller.standing.cancelledElsewhere(JobId("req-000007")))
-        assertFalse(controller.standing.cancelledElsewhere(JobId("req-000008")))
+        assertTrue(controller.health.cancelledElsewhere(JobId("req-000007")))
+        assertFalse(controller.health.cancelledElsewhere(JobId("req-000008")))
     }
 
     /** A cancellation that we could not hear of must still be in time: the leases lapse before `cancel_s` is over. */
@@ -202,7 +202,7 @@
         val from = controller.now
         while (controller.now - from < 60 * SECOND) {
             controller.step()
-            if (controller.standing.mayAnswerWorkers()) answeredUntil = controller.now - from
+            if (controller.health.mayAnswerWorkers()) answeredUntil = controller.now - from
         }
         assertTrue(answeredUntil > settings.leaseUs, "services go on for a while: $answeredUntil")
         assertTrue(answeredUntil + settings.leaseUs < settings.cancelUs, "$answeredUntil and a lease are within ${settings.cancelUs}")
--- a/src/test/kotlin/mintpick/sim/GuardsTest.kt
+++ b/src/test/kotlin/mintpick/sim/GuardsTest.kt
@@ -104,7 +104,7 @@
         assertTrue(sent > 1, "$sent machines lost a start")
     }
 
-    /** `Caretaker.isOneWay`: its reports to the others speak for a machine that hears nobody. */
+    /** `MachineMonitor.isOneWay`: its reports to the others speak for a machine that hears nobody. */
     @Test
     fun `a machine that hears nothing is returned before its lease is over`() {
         var silent = 0
@@ -154,7 +154,7 @@
         }
     }
 
-    /** `Orders.isNoticed`: the notice in a copy drained a machine that nobody was to take. */
+    /** `CommandPlanner.isNoticed`: the notice in a copy drained a machine that nobody was to take. */
     @Test
     fun `a notice in a copy empties nothing`() {
         val world = serving(65)
--- a/src/test/kotlin/mintpick/sim/RequeueDoubtTest.kt
+++ b/src/test/kotlin/mintpick/sim/RequeueDoubtTest.kt
@@ -81,7 +81,7 @@
         }
     }
 
-    /** `Orders.requeueSent`: the old attempts were started again there, and then the requeue was carried out. */
+    /** `CommandPlanner.requeueSent`: the old attempts were started again there, and then the requeue was carried out. */
     @TestFactory
     fun `a requeue that is carried out late doubles no task of a machine that has come back`() =
         listOf(2L, 11L).map { seed ->
--- a/src/test/kotlin/mintpick/sim/StateMeetingsTest.kt
+++ b/src/test/kotlin/mintpick/sim/StateMeetingsTest.kt
@@ -9,8 +9,8 @@
 import mintpick.core.Micros
 import mintpick.core.SECOND
 import mintpick.engine.Effect
+import mintpick.engine.EngineContext
 import mintpick.engine.FormatGate
-import mintpick.engine.Kernel
 import mintpick.engine.StateLink
 import mintpick.engine.Write
 import mintpick.net.Call
@@ -37,8 +37,8 @@
     private class Link(
         val state: SimState = SimState(),
     ) {
-        private val kernel = Kernel(Samples.settings(0), SplittableRandom(1))
-        val link = StateLink(kernel, FormatGate(kernel))
+        private val context = EngineContext(Samples.settings(0), SplittableRandom(1))
+        val link = StateLink(context, FormatGate(context))
         private val arrived = ArrayList<Pair<Long, Outcome>>()
         val held = ArrayList<Pair<Call, () -> Unit>>()
 
@@ -49,7 +49,7 @@
         var loses: (Call) -> Boolean = { false }
         var connected = true
         private var now: Micros = 0
-        val replica get() = kernel.replica
+        val replica get() = context.replica
 
         fun run(span: Micros) {
             val until = now + span
@@ -58,11 +58,11 @@
 
         private fun step() {
             now += STEP
-            kernel.begin(now, now)
+            context.begin(now, now)
             state.tick(now)
-            arrived.toList().also { arrived.clear() }.forEach { (id, outcome) -> kernel.callDone(id, outcome) }
+            arrived.toList().also { arrived.clear() }.forEach { (id, outcome) -> context.callDone(id, outcome) }
             link.tick()
-            for (effect in kernel.takeEffects()) {
+            for (effect in context.takeEffects()) {
                 if (effect !is Effect.Start) continue
                 if (connected) ask(effect.id, effect.call) else arrived += effect.id to Outcome.Unanswered
             }
--- a/src/test/kotlin/mintpick/sim/UserMeetingsTest.kt
+++ b/src/test/kotlin/mintpick/sim/UserMeetingsTest.kt
@@ -5,13 +5,13 @@
 import mintpick.core.JobId
 import mintpick.core.MILLI
 import mintpick.core.SECOND
-import mintpick.engine.Desk
 import mintpick.engine.Effect
+import mintpick.engine.EngineContext
 import mintpick.engine.Event
 import mintpick.engine.FormatGate
-import mintpick.engine.Kernel
 import mintpick.engine.ReplyTo
 import mintpick.engine.StateLink
+import mintpick.engine.UserRequests
 import mintpick.net.Answer
 import mintpick.net.Call
 import mintpick.net.Outcome
@@ -245,16 +245,16 @@
 
     /** A controller's link to the state service, whose calls the test answers in the order it likes. */
     private class ScriptedLink {
-        val kernel = Kernel(Samples.settings(0), SplittableRandom(1))
-        val link = StateLink(kernel, FormatGate(kernel))
+        val context = EngineContext(Samples.settings(0), SplittableRandom(1))
+        val link = StateLink(context, FormatGate(context))
         private val open = LinkedHashMap<Long, Call>()
         private var now = 0L
 
         private fun step() {
             now += 200 * MILLI
-            kernel.begin(now, now)
+            context.begin(now, now)
             link.tick()
-            kernel.takeEffects().filterIsInstance<Effect.Start>().forEach { open[it.id] = it.call }
+            context.takeEffects().filterIsInstance<Effect.Start>().forEach { open[it.id] = it.call }
         }
 
         fun isOpen(path: String): Boolean = open.values.any { path in it.path }
@@ -269,7 +269,7 @@
             repeat(10) { if (!isOpen(path)) step() }
             val id = open.entries.single { path in it.value.path }.key
             open -= id
-            kernel.callDone(id, Outcome.Answered(status, body.encodeToByteArray()))
+            context.callDone(id, Outcome.Answered(status, body.encodeToByteArray()))
         }
 
         fun page(
@@ -308,7 +308,7 @@
             script.answer("wait_ms=0", status, body)
             assertEquals(listOf(false), caughtUp, "answered with $status")
             script.page(2, more = false)
-            assertTrue((1..2).all { script.kernel.replica.knows(JobId("req-$it")) }, "answered with $status")
+            assertTrue((1..2).all { script.context.replica.knows(JobId("req-$it")) }, "answered with $status")
             script.answer("wait_ms=0", 200, NOTHING_NEW)
             assertTrue(script.link.serving, "answered with $status")
             assertEquals(listOf(false), caughtUp, "answered with $status")
@@ -332,12 +332,12 @@
     @Test
     fun `a submission whose write is answered late is told what has become of the job`() {
         val script = ScriptedLink().apply { serve() }
-        val desk = Desk(script.kernel, script.link, FormatGate(script.kernel))
+        val userRequests = UserRequests(script.context, script.link, FormatGate(script.context))
         val answers = ArrayList<Answer>()
-        desk.submissions[JobId(id(5))] = Desk.Pending(batch(5), 0).apply { replies += ReplyTo { answers += it } }
-        script.kernel.replica.apply(Keys.job(id(5)), RecordCodec.finalJson(StoredStage.CANCELLED, 1), 20)
-        desk.submitted(JobId(id(5)))
-        script.kernel
+        userRequests.submissions[JobId(id(5))] = UserRequests.Pending(batch(5), 0).apply { replies += ReplyTo { answers += it } }
+        script.context.replica.apply(Keys.job(id(5)), RecordCodec.finalJson(StoredStage.CANCELLED, 1), 20)
+        userRequests.submitted(JobId(id(5)))
+        script.context
             .takeEffects()
             .filterIsInstance<Effect.Send>()
             .forEach { it.reply.answer(it.answer) }
