--- a/src/test/kotlin/mintpick/sim/DrawnDaysTest.kt
+++ b/src/test/kotlin/mintpick/sim/DrawnDaysTest.kt
@@ -36,9 +36,18 @@
         }
         val team = if (n % 2 == 0) "red" else "blue"
         val estimateS = 2.0 + random.nextInt(30)
-        return Samples.spec(id, team, 1 + random.nextInt(6), oneZone = random.nextInt(4) == 0, estimateS = estimateS)
+        val spec = Samples.spec(id, team, 1 + random.nextInt(6), oneZone = random.nextInt(4) == 0, estimateS = estimateS)
+        return spec.copy(predecessors = predecessorsOf(n).map { "req-%06d".format(it) }.ifEmpty { null })
     }
 
+    /** Two of each dozen jobs wait for others: one for a job that is cancelled sooner or later, one for that and one more. */
+    private fun predecessorsOf(n: Int): List<Int> =
+        when (n % 12) {
+            5 -> listOf(n - 1)
+            10 -> listOf(n - 2, n - 5)
+            else -> emptyList()
+        }
+
     private fun play(seed: Long): Day {
         val world = World(seed, Luck(lost = 2, lostAnswer = 2, late = 3, copied = 30)) { Samples.settings(it) }
         (1..JOBS).forEach { n ->
--- a/src/test/kotlin/mintpick/sim/RulesTest.kt
+++ b/src/test/kotlin/mintpick/sim/RulesTest.kt
@@ -54,6 +54,24 @@
                 r.told("req-000001", JobStage.CANCELLED, 0)
                 r.started("req-000001/0", north, 3 * SECOND)
             },
+            "too_early" to { r ->
+                r.submitted(Samples.spec("req-000002").copy(predecessors = listOf("req-000001")))
+                r.submitted(Samples.spec("req-000003").copy(predecessors = listOf("req-000002")))
+                (0..1).forEach { r.left("req-000001/$it", true) }
+                r.started("req-000003/0", south, 1)
+            },
+            "orphaned" to { r ->
+                r.submitted(Samples.spec("req-000002").copy(predecessors = listOf("req-000001")))
+                r.submitted(Samples.spec("req-000003").copy(predecessors = listOf("req-000002")))
+                r.cancelRequested("req-000001")
+                r.told("req-000001", JobStage.CANCELLED, 0)
+                r.told("req-000003", JobStage.QUEUED, 44 * SECOND)
+            },
+            "went_back: req-000002 cancelled by nobody" to { r ->
+                r.submitted(Samples.spec("req-000002").copy(predecessors = listOf("req-000003")))
+                r.cancelRequested("req-000001")
+                r.told("req-000002", JobStage.CANCELLED, 0)
+            },
             "accepted_odd" to { r ->
                 r.neverAccept("req-000001")
                 r.told("req-000001", JobStage.QUEUED, 0)
