A controller cut off from its workers stays so until one gets through; large jobs are closed in two steps

The state now holds until a call or report gets through, and a machine of others is asked for that. Ruled out: the order of writes itself; the same can come about whenever the last of those machines goes.

--- a/src/main/kotlin/mintpick/engine/Changes.kt
+++ b/src/main/kotlin/mintpick/engine/Changes.kt
@@ -170,7 +170,7 @@
         val over =
             when {
                 job.stage == StoredStage.OPEN && job.done == job.spec.tasks -> StoredStage.DONE
-                job.stage == StoredStage.CANCELLED && job.placed == 0 -> StoredStage.CANCELLED
+                job.stage == StoredStage.CANCELLED && job.placed == 0 && seesAllPlacements(draft) -> StoredStage.CANCELLED
                 else -> null
             }
         if (over != null) {
@@ -199,6 +199,12 @@
         )
     }
 
+    /**
+     * Placements of one chunk do not conflict with changes of another, so a cancellation may be planned before one of them is
+     * known. Once it is stored, no more can be placed, and what was placed before it is known with it.
+     */
+    private fun seesAllPlacements(draft: JobChange): Boolean = draft.before.chunkCount == 1 || draft.before.stage == StoredStage.CANCELLED
+
     private fun newGroup() = TransactionGroup(limits, takesSeveral = context.now >= aloneUntilUs)
 
     /** Returns the parts for which there were writes. */
--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -161,7 +161,7 @@
             use = settings.teams.associate { it.name to accounting.use(it.name) },
             stateLatencyMs = link.latencyMs(),
             waitingForPredecessors = replica.dependencies.waitingCount,
-            withdrawnJobs = replica.withdrawnJobs().count(),
+            withdrawnJobs = replica.closableJobs().count { !it.isReleased },
             recordFormat = formats.current.name.lowercase(),
             formatLevels = formats.levels(),
             limits = limitsInForce(),
@@ -195,19 +195,19 @@
             draftOf(id)?.cancel()
         }
         observer.due().forEach { draftOf(it) }
-        closeWithdrawn(draftOf)
+        closeCancelled(draftOf)
         if (link.reachable) scheduling.schedule(changes, drafts, draftOf)
         if (changes.commit(drafts.values, scheduling.lacksWrites)) scheduling.foundNoWrite()
     }
 
     /**
-     * Jobs withdrawn with one that they need get final records of their own, so that they are not kept open for ever: only
-     * housekeeping, which waits until nothing else needs the writes, since what they are follows from other records anyway.
+     * Cancelled jobs without a task left get final records, so that they are not kept open for ever: only housekeeping, which
+     * waits until nothing else needs the writes, since that they are cancelled is known anyway.
      */
-    private fun closeWithdrawn(draftOf: (JobId) -> JobChange?) {
+    private fun closeCancelled(draftOf: (JobId) -> JobChange?) {
         val writes = changes.budget() - SPARE_WRITES
         if (writes <= 0) return
-        val mine = context.replica.withdrawnJobs().filter { ownership.home(it.id) == context.me }
+        val mine = context.replica.closableJobs().filter { ownership.home(it.id) == context.me }
         mine.take(minOf(writes, MOST_CLOSED)).toList().forEach { draftOf(it.id)?.close() }
     }
 
--- a/src/main/kotlin/mintpick/engine/Fleet.kt
+++ b/src/main/kotlin/mintpick/engine/Fleet.kt
@@ -120,14 +120,26 @@
 
     /**
      * Calls to several machines fail and none gets through anywhere: it is we who are cut off from the workers. Such a
-     * controller takes nothing from those that are not.
+     * controller takes nothing from those that are not, until a call or report gets through: the machines whose calls
+     * failed may all go while the cut lasts.
      */
-    val isCutOff: Boolean
-        get() = failures.size >= CUT_OFF && context.now - (reachedUs.values.maxOrNull() ?: 0) > NONE_REACHED
+    val isCutOff: Boolean get() = cutOffSinceUs != null
+    private var cutOffSinceUs: Micros? = null
+
+    private fun watchCutOff() {
+        val reached = reachedUs.values.maxOrNull() ?: 0
+        val since = cutOffSinceUs
+        if (since == null) {
+            if (failures.size >= CUT_OFF && context.now - reached > NONE_REACHED) cutOffSinceUs = context.now
+        } else if (reached > since || replica.machines.isEmpty()) {
+            cutOffSinceUs = null
+        }
+    }
 
     /** The process stood still: calls that failed meanwhile, and silences, say nothing of the machines. */
     fun stoodStill() {
         failures.clear()
+        cutOffSinceUs = null
         stoodStillUs = context.now
     }
 
@@ -432,6 +444,7 @@
 
     /** Sends [touched] machines what changed for them, confirms machines that came under our control, and raises the token where a start was lost. */
     fun tick(touched: Collection<MachineId>) {
+        watchCutOff()
         if (!health.healthy()) return
         touched.forEach { if (it in mineSince) push(it) }
         if (context.now < nextTickUs) return
@@ -456,12 +469,15 @@
     }
 
     /**
-     * Asks those that others have adopted since our calls to them failed. With nothing left to command, nobody else
-     * would show us that the way to the workers is open again, and we would take part in nothing for ever.
+     * Asks a machine that others command. With nothing left to command, nobody else would show us that the way to the
+     * workers is open again, and we would take part in nothing for ever.
      */
     private fun probeLost() {
-        val lost = failures.keys.filter { it !in mineSince }
-        if (lost.isNotEmpty()) probe(lost[context.random.nextInt(lost.size)])
+        val lost = replica.machines.keys.filter { it !in mineSince }
+        if (lost.isEmpty()) return
+        val machine = lost[context.random.nextInt(lost.size)]
+        views.getOrPut(machine) { MachineView(machine, context.now) }
+        probe(machine)
     }
 
     companion object {
--- a/src/main/kotlin/mintpick/engine/Replica.kt
+++ b/src/main/kotlin/mintpick/engine/Replica.kt
@@ -97,8 +97,8 @@
     /** What follows for a job from the records of the jobs that it waits for. */
     val dependencies = DependencyGraph()
 
-    /** Jobs withdrawn with one that they need, whose own records do not show it yet. */
-    private val withdrawnIds = LinkedHashSet<JobId>()
+    /** Cancelled jobs without a task left, whose records do not say yet that they are over. */
+    private val closableIds = LinkedHashSet<JobId>()
 
     /** The newest record format that each controller has announced; absent: the oldest. */
     val formats = HashMap<NodeId, Int>()
@@ -131,10 +131,13 @@
 
     /** Cancelled jobs that have tasks left. */
     fun cancelledJobs(): List<String> =
-        jobMap.values.filter { it.stage == StoredStage.CANCELLED && it.id !in withdrawnIds }.map { it.id.text }
+        jobMap.values.filter { it.stage == StoredStage.CANCELLED && it.id !in closableIds }.map { it.id.text }
 
-    /** Jobs withdrawn with one that they need, whose own records do not show it yet; they never had a task. */
-    fun withdrawnJobs(): Sequence<Job> = withdrawnIds.asSequence().mapNotNull { jobMap[it] }
+    /**
+     * Cancelled jobs without a task left, whose records do not say yet that they are over: those withdrawn with one that
+     * they need, and large ones, of which a task may have been placed unseen until their cancellation was stored.
+     */
+    fun closableJobs(): Sequence<Job> = closableIds.asSequence().mapNotNull { jobMap[it] }
 
     fun job(id: JobId): Job? = jobMap[id]
 
@@ -354,10 +357,7 @@
         when (dependencies.add(stored.id, stored.spec.predecessorIds, ::predecessorState)) {
             Readiness.RELEASED -> stored
             Readiness.WAITING -> stored.with(isReleased = false)
-            Readiness.WITHDRAWN -> {
-                if (stored.stage == StoredStage.OPEN) withdrawnIds += stored.id
-                stored.with(stage = StoredStage.CANCELLED, isReleased = false)
-            }
+            Readiness.WITHDRAWN -> stored.with(stage = StoredStage.CANCELLED, isReleased = false)
         }
 
     private fun predecessorState(id: JobId): PredecessorState =
@@ -377,7 +377,6 @@
         } else {
             for (next in dependencies.cancelled(id)) {
                 val job = jobMap[next] ?: continue
-                if (job.stage == StoredStage.OPEN) withdrawnIds += next
                 replace(next, job, job.with(stage = StoredStage.CANCELLED))
             }
         }
@@ -403,12 +402,8 @@
     ) {
         before?.let { account(it, -1) }
         after?.let { account(it, 1) }
-        if (after == null) {
-            jobMap.remove(id)
-            withdrawnIds -= id
-        } else {
-            jobMap[id] = after
-        }
+        if (after == null) jobMap.remove(id) else jobMap[id] = after
+        if (after != null && after.stage == StoredStage.CANCELLED && after.placed == 0) closableIds += id else closableIds -= id
         if (after != null && after.waiting > 0) waitingIds += id else waitingIds -= id
     }
 
