Log what tells the incident's hypotheses apart: steps, queue, reads, answers, refusals, health, leader

Three bounded lines every 10 s and one line on each change; no decision changes. The event loop's queue becomes a class of its own, and the event loop runs any StateMachine, so that the model can run it in virtual time.

--- a/src/main/kotlin/mintpick/cli/Service.kt
+++ b/src/main/kotlin/mintpick/cli/Service.kt
@@ -4,6 +4,7 @@
 import mintpick.config.Settings
 import mintpick.core.MILLI
 import mintpick.core.Micros
+import mintpick.core.SECOND
 import mintpick.engine.Engine
 import mintpick.engine.EventLoop
 import mintpick.engine.runtime.Event
@@ -11,6 +12,7 @@
 import mintpick.net.JdkServer
 import mintpick.net.Outcome
 import mintpick.users.Routes
+import org.slf4j.LoggerFactory
 import java.util.SplittableRandom
 
 /**
@@ -39,10 +41,13 @@
     private val caller = HttpCaller(::enqueueOutcome)
     private val eventLoop: EventLoop = EventLoop(Engine(settings, operators, random), caller::start, ::monotonicUs, ::wallClockUs)
     private val routes = Routes(eventLoop::offer, eventLoop::isUp, limits.maxPendingUserRequests, ::monotonicUs)
+    private val healthLog = HealthLog(eventLoop::reasonForDown)
     private val peerApiServer = JdkServer(settings.peerApi, limits.peerApiThreads)
     private val apiServer = JdkServer(settings.api, limits.apiThreads)
     private val requestExpiryThread = Thread(null, ::expireRequestsPeriodically, "overdue").apply { isDaemon = true }
 
+    private var nextRefusalReportUs: Micros = 0
+
     /**
      * Starts the servers. Requests wait until the event loop runs.
      *
@@ -74,6 +79,8 @@
         try {
             while (true) {
                 routes.expireOverdueRequests()
+                healthLog.tick()
+                reportRefusals()
                 Thread.sleep(REQUEST_EXPIRY_INTERVAL_MS)
             }
         } catch (_: InterruptedException) {
@@ -82,7 +89,15 @@
         }
     }
 
+    private fun reportRefusals() {
+        if (monotonicUs() < nextRefusalReportUs) return
+        nextRefusalReportUs = monotonicUs() + REFUSAL_REPORT_INTERVAL
+        routes.takeRefusalReport()?.let { LOG.info("requests refused {}", it) }
+    }
+
     private companion object {
+        val LOG = LoggerFactory.getLogger(Service::class.java)
+        const val REFUSAL_REPORT_INTERVAL: Micros = 10 * SECOND
         const val REQUEST_EXPIRY_INTERVAL_MS = 250L
         const val NANOS_PER_MICRO = 1_000L
 
--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -31,11 +31,13 @@
 import mintpick.engine.jobs.UserRequestHandler
 import mintpick.engine.membership.ClusterConnectivity
 import mintpick.engine.membership.ControllerHealth
+import mintpick.engine.membership.LeadershipLog
 import mintpick.engine.membership.ShardClaims
 import mintpick.engine.runtime.Effect
 import mintpick.engine.runtime.EngineContext
 import mintpick.engine.runtime.Event
 import mintpick.engine.runtime.ReplyTo
+import mintpick.engine.runtime.label
 import mintpick.engine.scheduling.CandidateFinder
 import mintpick.engine.scheduling.FaultyJobThrottle
 import mintpick.engine.scheduling.JobPlacer
@@ -62,7 +64,7 @@
     private val settings: Settings,
     operators: Operators,
     random: RandomGenerator,
-) {
+) : StateMachine {
     private val context = EngineContext(settings, random)
     private val formats = RecordFormatNegotiator(context)
     private val stateStore = StateStoreClient(context, formats)
@@ -113,6 +115,7 @@
     private val updateCycle = JobUpdateCycle(context, stateStore, shardClaims, reconciler, scheduler, pendingRequests, jobUpdateWriter)
     private val machineHintCollector = MachineHintCollector(context, shardClaims, agents, reconciler, commandPlanner)
     private val hintExchange = PeerHintExchange(context, stateStore, health, reconciler, machineHintCollector)
+    private val leadershipLog = LeadershipLog(context)
     private val statusReporter =
         StatusReporter(context, stateStore, shardClaims, formats, pendingRequests, jobUpdateWriter, usageAccounting)
     private var lastStepUs: Micros = 0
@@ -124,7 +127,15 @@
     }
 
     /** The answer of `/up` as of the last step: whether this controller accepts requests. */
-    val isUp: Boolean get() = health.isUp()
+    override val isUp: Boolean get() = health.isUp()
+
+    override val reasonForDown: String? get() = health.reasonForDown()
+
+    override fun takeReport(): String {
+        val cacheAgeMs = stateStore.cacheAsOfUs?.let { (context.now - it) / MILLI }
+        val records = "phase=${stateStore.phase.label()} revision=${context.cache.revision} cache_age_ms=$cacheAgeMs"
+        return "$records ${context.metrics.takeReport()}"
+    }
 
     /**
      * Handles [events] in order, then performs all work that is due.
@@ -133,7 +144,7 @@
      * @param wallClockUs the wall clock in microseconds since 1970; its error must be within the bound of the settings
      * @return answers to send and calls to start, to be performed in the order of the list
      */
-    fun step(
+    override fun step(
         now: Micros,
         wallClockUs: Micros,
         events: List<Event>,
@@ -155,6 +166,7 @@
         formats.tick()
         health.tick()
         shardClaims.tick()
+        leadershipLog.tick()
         agents.updateControlledMachines()
     }
 
--- a/src/main/kotlin/mintpick/engine/EventLoop.kt
+++ b/src/main/kotlin/mintpick/engine/EventLoop.kt
@@ -2,14 +2,13 @@
 
 import mintpick.core.MILLI
 import mintpick.core.Micros
+import mintpick.core.SECOND
 import mintpick.engine.runtime.Effect
 import mintpick.engine.runtime.Event
 import mintpick.net.Call
 import mintpick.net.Outcome
 import mintpick.net.errorAnswer
 import org.slf4j.LoggerFactory
-import java.util.concurrent.ArrayBlockingQueue
-import java.util.concurrent.TimeUnit
 
 /**
  * Runs the engine: takes events from a queue in batches, steps the engine and performs its effects. The thread that calls [run]
@@ -20,17 +19,20 @@
  * @param wallClockUs reads the wall clock, in microseconds since 1970
  */
 class EventLoop(
-    private val engine: Engine,
+    private val engine: StateMachine,
     private val startCall: (id: Long, call: Call) -> Unit,
     private val monotonicUs: () -> Micros,
     private val wallClockUs: () -> Micros,
 ) {
-    private val queue = ArrayBlockingQueue<Event>(QUEUE_CAPACITY)
+    private val queue = EventQueue(monotonicUs)
+    private val metrics = EventLoopMetrics()
+    private val batch = ArrayList<Event>()
 
     /** Outcomes of calls that were not sent. They bypass the queue, because the event loop must not wait for space in it. */
     private val notSentOutcomes = ArrayList<Event>()
+    private var nextReportUs: Micros = 0
 
-    @Volatile private var isEngineUp = false
+    @Volatile private var engineReasonForDown: String? = "starting"
 
     @Volatile private var lastStepUs: Micros = 0
 
@@ -41,15 +43,16 @@
     fun put(event: Event) = queue.put(event)
 
     /** Whether this controller accepts requests; false also while the event loop is paused or far behind. Any thread. */
-    fun isUp(): Boolean = isEngineUp && monotonicUs() - lastStepUs < MAX_STEP_GAP
+    fun isUp(): Boolean = reasonForDown() == null
+
+    /** Why [isUp] is false, as a word for the log; null if it is true. Any thread. */
+    fun reasonForDown(): String? = engineReasonForDown ?: "no-recent-step".takeIf { monotonicUs() - lastStepUs >= MAX_STEP_GAP }
 
     /** Runs until the thread is interrupted. */
     fun run() {
-        val batch = ArrayList<Event>()
         try {
             while (!Thread.currentThread().isInterrupted) {
-                fill(batch)
-                stepSafely(batch)
+                runOnce(MAX_POLL_WAIT)
             }
         } catch (_: InterruptedException) {
             // Interrupted while waiting for an event: restores the interrupt flag for the code that called [run].
@@ -57,12 +60,14 @@
         }
     }
 
-    private fun fill(batch: MutableList<Event>) {
+    /** Runs one step with the events that wait now. If there are none, waits for up to [maxWaitUs] for one. Event-loop thread only. */
+    internal fun runOnce(maxWaitUs: Micros) {
         batch.clear()
-        queue.poll(MAX_POLL_WAIT, TimeUnit.MICROSECONDS)?.let(batch::add)
-        queue.drainTo(batch, MAX_BATCH)
+        queue.take(batch, maxWaitUs, metrics)
         batch += notSentOutcomes
         notSentOutcomes.clear()
+        stepSafely(batch)
+        reportIfDue()
     }
 
     /** Steps the engine and logs exceptions: one failed step must not end the service. Lost data is read or requested again. */
@@ -75,12 +80,20 @@
     }
 
     private fun step(batch: List<Event>) {
-        val now = monotonicUs()
-        for (effect in engine.step(now, wallClockUs(), batch)) {
-            if (monotonicUs() - now > MAX_STEP_AGE) refuse(effect) else perform(effect)
+        val startedUs = monotonicUs()
+        var discarded = 0
+        for (effect in engine.step(startedUs, wallClockUs(), batch)) {
+            if (monotonicUs() - startedUs > MAX_STEP_AGE) {
+                refuse(effect)
+                discarded++
+            } else {
+                perform(effect)
+            }
         }
-        isEngineUp = engine.isUp
-        lastStepUs = now
+        engineReasonForDown = engine.reasonForDown
+        lastStepUs = startedUs
+        val endedUs = monotonicUs()
+        metrics.recordStep(endedUs, endedUs - startedUs, batch.size, discarded)
     }
 
     /**
@@ -102,12 +115,19 @@
         }
     }
 
+    private fun reportIfDue() {
+        val now = monotonicUs()
+        if (now < nextReportUs) return
+        nextReportUs = now + REPORT_INTERVAL
+        LOG.info("event loop {}", metrics.takeReport())
+        LOG.info("engine {}", engine.takeReport())
+    }
+
     private companion object {
         val LOG = LoggerFactory.getLogger(EventLoop::class.java)
-        const val QUEUE_CAPACITY = 4096
-        const val MAX_BATCH = 256
         const val MAX_STEP_GAP: Micros = 2_000 * MILLI
         const val MAX_POLL_WAIT: Micros = 50 * MILLI
+        const val REPORT_INTERVAL: Micros = 10 * SECOND
         const val UNAVAILABLE = 503
         const val RETRY_AFTER_S = 1
 
--- a/src/main/kotlin/mintpick/engine/agents/CommandPlanner.kt
+++ b/src/main/kotlin/mintpick/engine/agents/CommandPlanner.kt
@@ -10,6 +10,7 @@
 import mintpick.engine.cache.Claim
 import mintpick.engine.membership.ControllerHealth
 import mintpick.engine.runtime.EngineContext
+import mintpick.engine.runtime.WithheldStart
 import mintpick.wire.Command
 import mintpick.wire.Retiring
 import mintpick.wire.StoredStage
@@ -66,7 +67,10 @@
         view: MachineView,
         claim: Claim,
     ): List<Command> {
-        if (cache.revision < claim.version) return stopsOfCancelledTasks(view)
+        if (cache.revision < claim.version) {
+            context.metrics.recordWithheldStart(WithheldStart.RECORDS_TOO_OLD)
+            return stopsOfCancelledTasks(view)
+        }
         return forgetsFor(view, claim) + stopsFor(view, claim) + startsFor(view, claim)
     }
 
@@ -80,7 +84,10 @@
         claim: Claim,
     ): List<Command> {
         val commands = commandsFor(view, claim)
-        return if (health.mayStartTasks()) commands else commands.filter { it.verb != Verb.START }
+        if (health.mayStartTasks()) return commands
+        val others = commands.filter { it.verb != Verb.START }
+        repeat(commands.size - others.size) { context.metrics.recordWithheldStart(WithheldStart.CANCELLATION_MAY_BE_UNKNOWN) }
+        return others
     }
 
     /** Stops of tasks of cancelled jobs, which any controller may send, whether or not it controls the machine. */
@@ -189,8 +196,24 @@
         claim: Claim,
         attempt: AttemptId,
     ): Boolean {
-        val job = cache.job(attempt.task.job) ?: return false
-        return isRunnable(job) && !isStopping(attempt) && !isDraining(view, claim)
+        val reason = reasonAgainstStart(view, claim, attempt) ?: return true
+        context.metrics.recordWithheldStart(reason)
+        return false
+    }
+
+    /** Why [attempt] must not be started now; null if it may be. */
+    private fun reasonAgainstStart(
+        view: MachineView,
+        claim: Claim,
+        attempt: AttemptId,
+    ): WithheldStart? {
+        val job = cache.job(attempt.task.job)
+        return when {
+            job == null || !isRunnable(job) -> WithheldStart.NOT_RUNNABLE
+            isStopping(attempt) -> WithheldStart.STOPPING
+            isDraining(view, claim) -> WithheldStart.DRAINING
+            else -> null
+        }
     }
 
     private fun command(
--- a/src/main/kotlin/mintpick/engine/agents/HeartbeatAnswers.kt
+++ b/src/main/kotlin/mintpick/engine/agents/HeartbeatAnswers.kt
@@ -5,6 +5,7 @@
 import mintpick.engine.membership.ControllerHealth
 import mintpick.engine.membership.ShardClaims
 import mintpick.engine.runtime.EngineContext
+import mintpick.engine.runtime.HeartbeatOutcome
 import mintpick.engine.state.StateStoreClient
 import mintpick.net.Answer
 import mintpick.net.errorAnswer
@@ -53,23 +54,29 @@
         scope: AnswerScope,
     ): Answer {
         val claim = shardClaims.controlClaim(view.id)
-        if (!stateStore.hasLoaded || claim == null) return errorAnswer(UNAVAILABLE, "not ready")
+        if (!stateStore.hasLoaded || claim == null) return notReady()
         if (claim.node != context.self) return answerUncontrolled(view, report, claim, scope)
         if (claim.version < report.token) {
             // Either a borrowing has ended, or another controller has taken over and the cached records don't show it yet.
             shardClaims.raiseToken(view.id, "seen-higher")
-            return misdirected()
+            return misdirected(HeartbeatOutcome.HIGHER_TOKEN)
         }
-        if (!health.mayAnswerAgents()) return misdirected()
+        if (!health.mayAnswerAgents()) return misdirected(HeartbeatOutcome.MAY_NOT_RENEW)
         unservedMachines.forget(view.id)
         return answerControlled(view, claim, scope)
     }
 
+    private fun notReady(): Answer {
+        context.metrics.recordHeartbeat(HeartbeatOutcome.NOT_READY)
+        return errorAnswer(UNAVAILABLE, "not ready")
+    }
+
     private fun answerControlled(
         view: MachineView,
         claim: Claim,
         scope: AnswerScope,
     ): Answer {
+        context.metrics.recordHeartbeat(outcomeOf(scope))
         val carriesAll = scope == AnswerScope.ALL_COMMANDS
         // Starts sent by an earlier process of this controller may still arrive until the token is raised. Until then only
         // stops are sent.
@@ -84,6 +91,13 @@
         return accepted(claim, commands)
     }
 
+    private fun outcomeOf(scope: AnswerScope): HeartbeatOutcome =
+        when (scope) {
+            AnswerScope.UNREAD -> HeartbeatOutcome.DELAYED_COPY
+            AnswerScope.STOPS_ONLY -> HeartbeatOutcome.STOPS_ONLY
+            AnswerScope.ALL_COMMANDS -> HeartbeatOutcome.COMMANDS
+        }
+
     private fun answerUncontrolled(
         view: MachineView,
         report: MachineReport,
@@ -107,6 +121,7 @@
         view: MachineView,
         claim: Claim,
     ): Answer {
+        context.metrics.recordHeartbeat(HeartbeatOutcome.ON_BEHALF)
         view.recordHeartbeatAnswered(context.now)
         return accepted(claim, commandPlanner.stopsOfCancelledTasks(view))
     }
@@ -130,11 +145,17 @@
         return kept in 1 until agents && context.random.nextInt(agents) >= kept
     }
 
-    private fun redirect(claim: Claim): Answer = misdirected(if (shardClaims.isLive(claim.node)) claim.node.text else null)
+    private fun redirect(claim: Claim): Answer =
+        misdirected(HeartbeatOutcome.REDIRECTED, if (shardClaims.isLive(claim.node)) claim.node.text else null)
 
     /** The answer of a controller that does not serve the machine; [controller] is the one that does, or null if it is unknown. */
-    fun misdirected(controller: String? = null): Answer =
-        Answer.json(MISDIRECTED, WireJson.encodeToString(Misdirected.serializer(), Misdirected(controller)))
+    fun misdirected(
+        outcome: HeartbeatOutcome,
+        controller: String? = null,
+    ): Answer {
+        context.metrics.recordHeartbeat(outcome)
+        return Answer.json(MISDIRECTED, WireJson.encodeToString(Misdirected.serializer(), Misdirected(controller)))
+    }
 
     companion object {
         private const val OK = 200
--- a/src/main/kotlin/mintpick/engine/agents/HeartbeatHandler.kt
+++ b/src/main/kotlin/mintpick/engine/agents/HeartbeatHandler.kt
@@ -4,6 +4,7 @@
 import mintpick.core.MachineView
 import mintpick.engine.membership.ShardClaims
 import mintpick.engine.runtime.EngineContext
+import mintpick.engine.runtime.HeartbeatOutcome
 import mintpick.engine.runtime.ReplyTo
 import mintpick.wire.MachineReport
 
@@ -23,7 +24,7 @@
         reply: ReplyTo,
     ) {
         val machine = MachineId(report.machine)
-        if (index.isTerminated(machine)) return context.send(reply, answers.misdirected())
+        if (index.isTerminated(machine)) return context.send(reply, answers.misdirected(HeartbeatOutcome.TERMINATED))
         shardClaims.register(machine, report.zone)
         val view = index.viewOrCreate(machine)
         val isAwaited = view.recordHeartbeat(report)
@@ -61,7 +62,7 @@
         val machine = view.id
         val shard = shardClaims.shard(machine)
         val controller = shardClaims.controlClaim(machine)?.node
-        if (shard == null || controller == null) return context.send(reply, answers.misdirected())
+        if (shard == null || controller == null) return context.send(reply, answers.misdirected(HeartbeatOutcome.REDIRECTED))
         unservedMachines.recordUnserved(machine, shard)
         dispatcher.inspect(view) { isReached ->
             if (isReached) {
--- a/src/main/kotlin/mintpick/engine/membership/ControllerHealth.kt
+++ b/src/main/kotlin/mintpick/engine/membership/ControllerHealth.kt
@@ -113,7 +113,15 @@
     fun isAnyPeerServed(): Boolean = hints.isAnyPeerServed(since = stateStore.lastServedUs ?: 0)
 
     /** The answer of `/up`. It stays true in an outage that affects all controllers, where no peer could serve requests instead. */
-    fun isUp(): Boolean = stateStore.isServing && (stateAgeUs < MAX_UP_STATE_AGE || !isAnyPeerServed())
+    fun isUp(): Boolean = reasonForDown() == null
+
+    /** Why `/up` fails, as a word for the log; null if it succeeds. */
+    fun reasonForDown(): String? =
+        when {
+            !stateStore.isServing -> stateStore.phase.name.lowercase()
+            stateAgeUs >= MAX_UP_STATE_AGE && isAnyPeerServed() -> "only-peers-served"
+            else -> null
+        }
 
     /** Whether tasks may be started: not if a cancellation may have been confirmed [MAX_START_CANCELLATION_AGE] ago and be unknown here. */
     fun mayStartTasks(): Boolean = cancellations.unknownForUs() < MAX_START_CANCELLATION_AGE
--- a/src/main/kotlin/mintpick/engine/runtime/EngineContext.kt
+++ b/src/main/kotlin/mintpick/engine/runtime/EngineContext.kt
@@ -20,6 +20,9 @@
     /** The identifier of this controller. */
     val self = NodeId(settings.node)
 
+    /** What this engine has done since the last report, for the log. */
+    val metrics = EngineMetrics()
+
     /** The local copy of the state store's records. [resetCache] replaces it by a new object. */
     var cache = LocalCache()
         private set
--- a/src/main/kotlin/mintpick/engine/runtime/Events.kt
+++ b/src/main/kotlin/mintpick/engine/runtime/Events.kt
@@ -14,6 +14,20 @@
     fun answer(answer: Answer)
 }
 
+/** Kinds of events whose waiting times are reported separately. */
+enum class EventKind { USER_REQUEST, HEARTBEAT, PEER_HINT, CALL_OUTCOME, STATUS_REQUEST }
+
+/** The kind of this event. */
+val Event.kind: EventKind
+    get() =
+        when (this) {
+            is Event.Submit, is Event.Malformed, is Event.Poll, is Event.Cancel -> EventKind.USER_REQUEST
+            is Event.Report -> EventKind.HEARTBEAT
+            is Event.Hint -> EventKind.PEER_HINT
+            is Event.CallDone -> EventKind.CALL_OUTCOME
+            is Event.StatusRequest -> EventKind.STATUS_REQUEST
+        }
+
 /** An input to the event loop. */
 sealed interface Event {
     /** A user submits a job. */
--- a/src/main/kotlin/mintpick/engine/state/SnapshotLoader.kt
+++ b/src/main/kotlin/mintpick/engine/state/SnapshotLoader.kt
@@ -1,6 +1,9 @@
 package mintpick.engine.state
 
+import mintpick.core.MILLI
+import mintpick.core.Micros
 import mintpick.engine.cache.LocalCache
+import mintpick.engine.runtime.ReadKind
 import mintpick.store.StateResult
 import mintpick.wire.ItemPage
 import org.slf4j.LoggerFactory
@@ -14,20 +17,22 @@
     /** Progress of loading the records into [cache]. After a failure only the failed request is repeated. */
     private class Progress(
         val cache: LocalCache,
+        val startedUs: Micros,
     ) {
         var lastKey: String? = null
         var firstRevision: Long? = null
         var hasAllPages = false
+        var pages = 0
     }
 
     private val context = connection.context
     private val protocol = connection.protocol
-    private var latest = Progress(context.cache)
+    private var latest = Progress(context.cache, context.now)
 
     /** Progress of loading the current cache. After the cache was reset, the load restarts with the first page. */
     private val progress: Progress
         get() {
-            if (latest.cache !== context.cache) latest = Progress(context.cache)
+            if (latest.cache !== context.cache) latest = Progress(context.cache, context.now)
             return latest
         }
 
@@ -36,8 +41,10 @@
 
     private fun loadPage() {
         session.onSetupRequestSent()
+        val sentUs = context.now
         connection.request(protocol.page(progress.lastKey, PAGE_ITEMS), protocol::readPage) { result ->
             session.onSetupRequestEnded()
+            context.metrics.recordRead(ReadKind.SNAPSHOT_PAGE, context.now - sentUs, result is StateResult.Ok)
             if (result is StateResult.Ok) onPage(result.value) else session.delaySetupRequest(StateStoreConnection.RETRY_DELAY)
         }
     }
@@ -45,6 +52,7 @@
     private fun onPage(page: ItemPage) {
         page.items.forEach { context.cache.apply(it.key, it.value, it.version) }
         val progress = progress
+        progress.pages++
         val firstRevision = progress.firstRevision ?: page.revision
         progress.firstRevision = firstRevision
         if (page.hasMore && page.items.isNotEmpty()) {
@@ -73,7 +81,8 @@
 
     private fun finish() {
         session.onLoaded()
-        LOG.info("loaded revision={} jobs={}", context.cache.revision, context.cache.jobs.size)
+        val tookMs = (context.now - progress.startedUs) / MILLI
+        LOG.info("loaded revision={} jobs={} pages={} took_ms={}", context.cache.revision, context.cache.jobs.size, progress.pages, tookMs)
     }
 
     private companion object {
--- a/src/main/kotlin/mintpick/engine/state/WatchReader.kt
+++ b/src/main/kotlin/mintpick/engine/state/WatchReader.kt
@@ -3,6 +3,7 @@
 import mintpick.core.MILLI
 import mintpick.core.Micros
 import mintpick.core.SECOND
+import mintpick.engine.runtime.ReadKind
 import mintpick.store.Keys
 import mintpick.store.StateResult
 import mintpick.wire.EventPage
@@ -94,6 +95,7 @@
         result: StateResult<EventPage>,
     ) {
         isWatchOpen = false
+        context.metrics.recordRead(ReadKind.WATCH, context.now - sentUs, result is StateResult.Ok)
         if (result is StateResult.Ok) statistics.recordWatchServed() else statistics.recordResult(sentUs, result)
         nextWatchUs = context.now + if (result is StateResult.Ok) WATCH_INTERVAL else StateStoreConnection.RETRY_DELAY
         if (apply(result)) advanceCacheAsOf(sentUs)
@@ -136,6 +138,7 @@
             catchUpInFlight = false
             val result = protocol.readWatch(outcome)
             statistics.recordResult(sent, result)
+            context.metrics.recordRead(ReadKind.CATCH_UP, context.now - sent, result is StateResult.Ok)
             // An answer to a request from before a reset does not apply to the new cache.
             val isCaughtUp = cacheAtSend === context.cache && apply(result)
             if (isCaughtUp) advanceCacheAsOf(sent)
--- a/src/main/kotlin/mintpick/net/Calls.kt
+++ b/src/main/kotlin/mintpick/net/Calls.kt
@@ -75,6 +75,8 @@
     val contentType: String = "application/json",
     /** Whether to close the connection after this answer. */
     val closes: Boolean = false,
+    /** Why the request was not carried out; null if it was. */
+    val reason: String? = null,
 ) {
     companion object {
         /** Builds an answer with the JSON in [text] as its body. */
--- a/src/main/kotlin/mintpick/net/HttpFront.kt
+++ b/src/main/kotlin/mintpick/net/HttpFront.kt
@@ -31,9 +31,16 @@
     return response
 }
 
-/** Builds an error answer. [message] is meant for people; [retryAfterS] is the number of seconds to wait before a retry. */
+/**
+ * Builds an error answer. [message] is meant for people; [retryAfterS] is the number of seconds to wait before a retry; [reason] is
+ * counted in the log and must be one of few texts if [status] is 429 or 503.
+ */
 fun errorAnswer(
     status: Int,
     message: String,
     retryAfterS: Int? = null,
-): Answer = Answer.json(status, WireJson.encodeToString(ErrorAnswer.serializer(), ErrorAnswer(message)), retryAfterS)
+    reason: String = message,
+): Answer {
+    val body = WireJson.encodeToString(ErrorAnswer.serializer(), ErrorAnswer(message)).encodeToByteArray()
+    return Answer(status, body, retryAfterS, reason = reason)
+}
--- a/src/main/kotlin/mintpick/users/Routes.kt
+++ b/src/main/kotlin/mintpick/users/Routes.kt
@@ -38,6 +38,9 @@
 ) {
     private val unanswered = UnansweredRequests(offer, maxUserRequests, monotonicUs)
 
+    /** Returns a text with the requests refused since the last call, by reason; null if there were none. */
+    fun takeRefusalReport(): String? = unanswered.refusals.takeReport()
+
     /** Handles requests of users, agents and health checks. */
     val api: LaterHandler = { request, respond -> routeApi(request, respond) }
 
--- a/src/main/kotlin/mintpick/users/UnansweredRequests.kt
+++ b/src/main/kotlin/mintpick/users/UnansweredRequests.kt
@@ -24,6 +24,9 @@
     private val maxUserRequests: Int,
     private val monotonicUs: () -> Micros,
 ) {
+    /** Requests refused since the last report. */
+    val refusals = RefusalCounts()
+
     private val userRequests = AtomicInteger()
     private val requests = ConcurrentLinkedQueue<UnansweredRequest>()
 
@@ -39,6 +42,7 @@
         override fun answer(answer: Answer) {
             val respond = openResponse.getAndSet(null) ?: return
             if (isUserRequest) userRequests.decrementAndGet()
+            recordRefusal(answer, if (isUserRequest) RequestOrigin.USER else RequestOrigin.AGENT_OR_PEER)
             respond(answer.toResponse())
         }
     }
@@ -53,7 +57,8 @@
     ) {
         if (userRequests.incrementAndGet() <= maxUserRequests) return enqueue(respond, isUserRequest = true, event)
         userRequests.decrementAndGet()
-        respond(TOO_MANY.toResponse())
+        recordRefusal(TOO_MANY_USERS, RequestOrigin.USER)
+        respond(TOO_MANY_USERS.toResponse())
     }
 
     /** Enqueues [event], whose answer is sent to [respond]. Refuses the request immediately if the event loop's queue is full. */
@@ -67,6 +72,17 @@
         if (!offer(event(request))) request.answer(TOO_MANY)
     }
 
+    private fun recordRefusal(
+        answer: Answer,
+        origin: RequestOrigin,
+    ) {
+        if (answer.status == TOO_MANY_REQUESTS ||
+            answer.status == UNAVAILABLE
+        ) {
+            refusals.record(origin, answer.status, answer.reason.orEmpty())
+        }
+    }
+
     /** Refuses requests that have been waiting for longer than [MAX_WAIT]. */
     fun expireOverdue() {
         while (true) {
@@ -78,11 +94,13 @@
     }
 
     private companion object {
+        const val TOO_MANY_REQUESTS = 429
         const val UNAVAILABLE = 503
         const val RETRY_AFTER_S = 1
 
         /** Equal to the timeout of an agent's heartbeat. */
         const val MAX_WAIT: Micros = 4 * SECOND
         val TOO_MANY = errorAnswer(UNAVAILABLE, "too many requests", RETRY_AFTER_S)
+        val TOO_MANY_USERS = errorAnswer(UNAVAILABLE, "too many requests", RETRY_AFTER_S, reason = "too many user requests")
     }
 }
