Answer polls before heartbeats, and drop requests that nobody waits for

Callers saw: at 4,000 machines, after overlapping faults, polls of accepted jobs unanswered for more than a minute. Cause: one first-in-first-out queue. A poll waits through the queue once and its catch-up a second time, longer than the user's 2 s. Agents give up after 4 s and send again elsewhere, so the queue fills with work that is useless when it is done. Change: a lane for each kind of event, outcomes and users first; heartbeats older than 3 s and polls older than 2 s are refused unread, which is the same as a lost message; a step handles fewer heartbeats while steps are long, so that it ends within its own limit of 2 s.

--- a/src/main/kotlin/mintpick/engine/EventLoop.kt
+++ b/src/main/kotlin/mintpick/engine/EventLoop.kt
@@ -5,6 +5,8 @@
 import mintpick.core.SECOND
 import mintpick.engine.runtime.Effect
 import mintpick.engine.runtime.Event
+import mintpick.engine.runtime.EventKind
+import mintpick.engine.runtime.kind
 import mintpick.net.Call
 import mintpick.net.Outcome
 import mintpick.net.errorAnswer
@@ -27,6 +29,8 @@
     private val queue = EventQueue(monotonicUs)
     private val metrics = EventLoopMetrics()
     private val batch = ArrayList<Event>()
+    private val expired = ArrayList<ExpiredRequest>()
+    private val heartbeatLimit = HeartbeatLimit()
 
     /** Outcomes of calls that were not sent. They bypass the queue, because the event loop must not wait for space in it. */
     private val notSentOutcomes = ArrayList<Event>()
@@ -63,7 +67,10 @@
     /** Runs one step with the events that wait now. If there are none, waits for up to [maxWaitUs] for one. Event-loop thread only. */
     internal fun runOnce(maxWaitUs: Micros) {
         batch.clear()
-        queue.take(batch, maxWaitUs, metrics)
+        expired.clear()
+        queue.take(batch, expired, heartbeatLimit.current, maxWaitUs, metrics)
+        expired.forEach { it.reply.answer(TOO_LATE) }
+        metrics.recordExpired(expired.size)
         batch += notSentOutcomes
         notSentOutcomes.clear()
         stepSafely(batch)
@@ -93,6 +100,7 @@
         engineReasonForDown = engine.reasonForDown
         lastStepUs = startedUs
         val endedUs = monotonicUs()
+        heartbeatLimit.onStep(endedUs - startedUs, batch.count { it.kind == EventKind.HEARTBEAT })
         metrics.recordStep(endedUs, endedUs - startedUs, batch.size, discarded)
     }
 
@@ -130,6 +138,7 @@
         const val REPORT_INTERVAL: Micros = 10 * SECOND
         const val UNAVAILABLE = 503
         const val RETRY_AFTER_S = 1
+        val TOO_LATE = errorAnswer(UNAVAILABLE, "no answer in time", RETRY_AFTER_S)
 
         /**
          * Longest time from the start of a step to its effects. A step acts only if the state store has served this controller
--- a/src/main/kotlin/mintpick/engine/EventLoopMetrics.kt
+++ b/src/main/kotlin/mintpick/engine/EventLoopMetrics.kt
@@ -20,6 +20,7 @@
     private var longestStepUs: Micros = 0
     private var longestQueue = 0
     private var discardedEffects = 0L
+    private var expiredRequests = 0L
     private var nextSlowStepLogUs: Micros = 0
 
     /** Records that an event was taken from the queue after [waitedUs]. */
@@ -37,6 +38,11 @@
         longestQueue = maxOf(longestQueue, length)
     }
 
+    /** Records requests that were refused because their senders no longer wait. */
+    fun recordExpired(requests: Int) {
+        expiredRequests += requests
+    }
+
     /** Records a step that ended at [now]. Logs slow ones, at most one each second. */
     fun recordStep(
         now: Micros,
@@ -56,13 +62,14 @@
     fun takeReport(): String {
         val kinds = waits.map { (kind, it) -> "${kind.label()}=${it.count} longest_wait_ms=${it.longestUs / MILLI}" }
         val report =
-            "steps=$steps longest_step_ms=${longestStepUs / MILLI} discarded_effects=$discardedEffects longest_queue=$longestQueue " +
+            "steps=$steps longest_step_ms=${longestStepUs / MILLI} discarded_effects=$discardedEffects longest_queue=$longestQueue expired=$expiredRequests " +
                 "events ${kinds.joinToString(" ")}"
         waits.clear()
         steps = 0
         longestStepUs = 0
         longestQueue = 0
         discardedEffects = 0
+        expiredRequests = 0
         return report
     }
 
--- a/src/main/kotlin/mintpick/engine/state/SnapshotLoader.kt
+++ b/src/main/kotlin/mintpick/engine/state/SnapshotLoader.kt
@@ -17,8 +17,8 @@
     /** Progress of loading the records into [cache]. After a failure only the failed request is repeated. */
     private class Progress(
         val cache: LocalCache,
-        val startedUs: Micros,
     ) {
+        var startedUs: Micros? = null
         var lastKey: String? = null
         var firstRevision: Long? = null
         var hasAllPages = false
@@ -27,12 +27,12 @@
 
     private val context = connection.context
     private val protocol = connection.protocol
-    private var latest = Progress(context.cache, context.now)
+    private var latest = Progress(context.cache)
 
     /** Progress of loading the current cache. After the cache was reset, the load restarts with the first page. */
     private val progress: Progress
         get() {
-            if (latest.cache !== context.cache) latest = Progress(context.cache, context.now)
+            if (latest.cache !== context.cache) latest = Progress(context.cache)
             return latest
         }
 
@@ -42,6 +42,7 @@
     private fun loadPage() {
         session.onSetupRequestSent()
         val sentUs = context.now
+        progress.startedUs = progress.startedUs ?: sentUs
         connection.request(protocol.page(progress.lastKey, PAGE_ITEMS), protocol::readPage) { result ->
             session.onSetupRequestEnded()
             context.metrics.recordRead(ReadKind.SNAPSHOT_PAGE, context.now - sentUs, result is StateResult.Ok)
@@ -81,7 +82,7 @@
 
     private fun finish() {
         session.onLoaded()
-        val tookMs = (context.now - progress.startedUs) / MILLI
+        val tookMs = (context.now - (progress.startedUs ?: context.now)) / MILLI
         LOG.info("loaded revision={} jobs={} pages={} took_ms={}", context.cache.revision, context.cache.jobs.size, progress.pages, tookMs)
     }
 
--- a/src/test/kotlin/mintpick/simulation/UserRequestFaultCombinationsTest.kt
+++ b/src/test/kotlin/mintpick/simulation/UserRequestFaultCombinationsTest.kt
@@ -150,7 +150,7 @@
                 cluster.run(50 * SECOND)
                 val claimWritesBefore = cluster.claimWrites()
                 fault(cluster)
-                (1..48).forEach { n -> cluster.after(n * SECOND / 4) { users.cancel(id(n), n % SimulatedCluster.NODES) } }
+                (1..48).forEach { n -> cluster.after(n * SECOND / 4) { users.cancel(id(n), n % cluster.nodes.size) } }
                 cluster.run(140 * SECOND)
                 cluster.assertNoBreach()
                 assertTrue(cluster.claimWrites() > claimWritesBefore, "no shard or machine changed controllers")
@@ -188,8 +188,8 @@
             for (n in 1..8) {
                 nextId = users.submitInvalid(batch(0), nextId)
                 listOf(openJob, finishedJob).forEach { users.resubmitInvalid(it) }
-                repeat(SimulatedCluster.NODES) { users.cancel(finishedJob.id, it) }
-                users.poll(id(999), n % SimulatedCluster.NODES, "unknown")
+                repeat(cluster.nodes.size) { users.cancel(finishedJob.id, it) }
+                users.poll(id(999), n % cluster.nodes.size, "unknown")
                 cluster.run(cluster.now + SECOND / 2)
             }
             phase(false)
--- a/src/test/kotlin/mintpick/testing/FaultRates.kt
+++ b/src/test/kotlin/mintpick/testing/FaultRates.kt
@@ -22,6 +22,9 @@
     val spotMachines: Int = Int.MAX_VALUE,
     /** Time between the rental of a machine and the first heartbeat of its agent. */
     val bootTimes: LongRange = 2 * SECOND..10 * SECOND,
+    val controllers: Int = 3,
+    /** What each controller is charged for its work; null: its steps take no time. */
+    internal val processor: ProcessorCosts? = null,
 )
 
 /** Machine types that [SimulatedCloud] offers. */
--- a/src/test/kotlin/mintpick/testing/RuleChecker.kt
+++ b/src/test/kotlin/mintpick/testing/RuleChecker.kt
@@ -240,6 +240,10 @@
         if (job in accepted && status in listOf(400, 422)) breaches += "forgotten: $job got $status"
     }
 
+    /** Longest time since the last fault for which an accepted job has been polled without an answer. */
+    fun longestUnansweredUs(now: Micros): Micros =
+        unansweredSince.filterKeys { it in accepted }.values.maxOfOrNull { now - maxOf(it, faultsOverAtUs) } ?: 0
+
     fun tick(now: Micros) {
         if (now - faultsOverAtUs > MAX_UNANSWERED) {
             for ((job, since) in unansweredSince) {
--- a/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
+++ b/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
@@ -6,6 +6,7 @@
 import mintpick.core.Micros
 import mintpick.core.SECOND
 import mintpick.engine.Engine
+import mintpick.engine.StateMachine
 import mintpick.engine.runtime.Effect
 import mintpick.engine.runtime.Event
 import mintpick.engine.runtime.ReplyTo
@@ -25,7 +26,7 @@
 import java.util.PriorityQueue
 import java.util.SplittableRandom
 
-/** Deterministic simulation of three controllers, a state store, a cloud, agents and users in virtual time, with fault injection. */
+/** Deterministic simulation of several controllers, a state store, a cloud, agents and users in virtual time, with fault injection. */
 class SimulatedCluster(
     seed: Long,
     private val faultRates: FaultRates,
@@ -41,15 +42,22 @@
         ): List<Effect>
     }
 
+    /** The present engine as a controller. */
+    private class EngineController(
+        engine: Engine,
+    ) : Controller,
+        StateMachine by engine
+
     /** Creates the engine of a node's process each time the process starts. */
-    var controllerFactory: (Node) -> Controller = { node -> Engine(node.settings, Operators(), random.split())::step.let(::Controller) }
+    var controllerFactory: (Node) -> Controller = { node -> EngineController(Engine(node.settings, Operators(), random.split())) }
 
     inner class Node(
         val index: Int,
     ) {
         val settings = settingsOf(index)
         var engine: Controller? = null
-        private val inbox = ArrayList<Event>()
+            private set
+        private var process: SimulatedProcess? = null
         private var incarnation = 0
         var cutFromState = false
         var cutFromAgents = false
@@ -64,12 +72,18 @@
         /** Unique name of the current process of this node. */
         val name: String get() = "${settings.node} #$incarnation"
 
+        /** Whether the health check of this node's process succeeds; false while the process is down or paused. */
+        val isUp: Boolean get() = now >= pausedUntilUs && process?.isUp ?: false
+
         fun start() {
-            engine = controllerFactory(this)
+            val engine = controllerFactory(this)
+            this.engine = engine
             incarnation++
-            inbox.clear()
-            val ownIncarnation = incarnation
-            stepLoop(ownIncarnation)
+            val sink = EffectDelivery(this, incarnation)
+            val costs = size.processor
+            val onEvents: (Int) -> Unit = { events += it }
+            process = if (costs == null) InstantProcess(engine, sink, onEvents) else ChargedProcess(engine, costs, sink, onEvents)
+            stepLoop(incarnation)
         }
 
         /** Pauses the process. Its clocks advance meanwhile, and events are queued. */
@@ -82,40 +96,56 @@
         /** Ends the process, and starts a new one after [downUs]. */
         fun crash(downUs: Micros) {
             engine = null
+            process = null
             after(downUs) { if (engine == null) start() }
         }
 
         private fun stepLoop(ownIncarnation: Int) {
-            if (incarnation != ownIncarnation || engine == null) return
-            if (now >= pausedUntilUs) step()
-            after(STEP) { stepLoop(ownIncarnation) }
+            val process = process
+            if (incarnation != ownIncarnation || process == null) return
+            val busyUs = if (now >= pausedUntilUs) process.step(now + index * SECOND, WALL_CLOCK_OFFSET + now) else 0
+            after(maxOf(STEP, busyUs)) { stepLoop(ownIncarnation) }
         }
 
         /** Queues [event] for the next step; returns false if the process is down. */
         fun deliver(event: Event): Boolean {
-            if (engine == null) return false
-            inbox += event
+            val process = process ?: return false
+            process.deliver(event)
             return true
         }
 
-        private fun step() {
-            val engine = engine ?: return
-            val batch = inbox.toList()
-            inbox.clear()
-            events += batch.size
-            val ownIncarnation = incarnation
-            for (effect in engine.step(now + index * SECOND, WALL_CLOCK_OFFSET + now, batch)) {
-                when (effect) {
-                    is Effect.Send -> effect.reply.answer(effect.answer)
-                    is Effect.Start -> {
-                        calls++
-                        perform(this, effect.call) { if (incarnation == ownIncarnation) deliver(Event.CallDone(effect.id, it)) }
-                    }
-                }
-            }
+        internal fun startCall(
+            ownIncarnation: Int,
+            id: Long,
+            call: Call,
+        ) {
+            calls++
+            perform(this, call) { if (incarnation == ownIncarnation) deliver(Event.CallDone(id, it)) }
         }
     }
 
+    /** Performs the effects of the process [incarnation] of [node]. */
+    private inner class EffectDelivery(
+        private val node: Node,
+        private val incarnation: Int,
+    ) : EffectSink {
+        override fun send(
+            delay: Micros,
+            send: Effect.Send,
+        ) = afterOrNow(delay) { send.reply.answer(send.answer) }
+
+        override fun start(
+            delay: Micros,
+            id: Long,
+            call: Call,
+        ) = afterOrNow(delay) { node.startCall(incarnation, id, call) }
+
+        private fun afterOrNow(
+            delay: Micros,
+            run: () -> Unit,
+        ) = if (delay == 0L) run() else after(delay, run)
+    }
+
     val random = SplittableRandom(seed)
     var now: Micros = 0
         private set
@@ -125,7 +155,7 @@
     val state = SimulatedStateStore()
     val stateStoreFaults = StateStoreFaults(this)
     internal val userFaults by lazy { UserFaults(this) }
-    val nodes = (0 until NODES).map { Node(it) }
+    val nodes = (0 until size.controllers).map { Node(it) }
     val agents = LinkedHashMap<String, SimulatedAgent>()
 
     val cloud by lazy { SimulatedCloud(this, size, nodes[0].settings.listLagUs) }
@@ -315,7 +345,7 @@
         val address = "10.1.${number / 250}.${number % 250}:9000"
         val agent = SimulatedAgent(id, address, request.type, request.zone, request.spot, nodes[0].settings.leaseUs, this, now)
         agents[id] = agent
-        heartbeatLoop(agent, random.nextInt(NODES), 0)
+        heartbeatLoop(agent, random.nextInt(nodes.size), 0)
     }
 
     /** Removes a machine together with all its tasks. */
@@ -344,7 +374,7 @@
         val sent = now
         messageDelays.heartbeatSent(message)
         if (occurs(faultRates.duplicated)) {
-            after(2 * SECOND + random.nextLong(58 * SECOND)) { deliverDuplicate(message, nodes[random.nextInt(NODES)]) }
+            after(2 * SECOND + random.nextLong(58 * SECOND)) { deliverDuplicate(message, nodes[random.nextInt(nodes.size)]) }
         }
         var pending = true
         val next: (Int, Micros) -> Unit = { to, pause ->
@@ -353,7 +383,7 @@
                 after(pause) { heartbeatLoop(agent, to, 3 * SECOND) }
             }
         }
-        after(4 * SECOND) { next((target + 1) % NODES, SECOND) }
+        after(4 * SECOND) { next((target + 1) % nodes.size, SECOND) }
         if (agent.heartbeatsLost ||
             node.cutFromAgents ||
             ((zonesPartitioned || isolatedZone != null) && node.settings.zone != agent.zone) ||
@@ -381,7 +411,7 @@
                         },
                     ),
                 )
-            if (!delivered) next((target + 1) % NODES, SECOND)
+            if (!delivered) next((target + 1) % nodes.size, SECOND)
         }
     }
 
@@ -422,12 +452,12 @@
                 val to = WireJson.decodeFromString(Misdirected.serializer(), answer.body.decodeToString()).controller
                 val index = nodes.indexOfFirst { it.settings.node == to }
                 if (index < 0 || index == target) {
-                    after(SECOND) { heartbeatLoop(agent, (target + 1) % NODES, 3 * SECOND) }
+                    after(SECOND) { heartbeatLoop(agent, (target + 1) % nodes.size, 3 * SECOND) }
                 } else {
                     after(random.nextLong(SECOND / 2)) { heartbeatLoop(agent, index, 3 * SECOND) }
                 }
             }
-            else -> after(SECOND) { heartbeatLoop(agent, (target + 1) % NODES, 3 * SECOND) }
+            else -> after(SECOND) { heartbeatLoop(agent, (target + 1) % nodes.size, 3 * SECOND) }
         }
     }
 
@@ -469,7 +499,6 @@
     ): Boolean = taskFails(machine, task)
 
     companion object {
-        const val NODES = 3
         private const val STEP: Micros = 20 * MILLI
         private const val SERVICE_TICK: Micros = 100 * MILLI
         private const val WALL_CLOCK_OFFSET: Micros = 1_700_000_000 * SECOND
--- a/src/test/kotlin/mintpick/testing/UserFaults.kt
+++ b/src/test/kotlin/mintpick/testing/UserFaults.kt
@@ -111,7 +111,7 @@
                 recordAnswer(job, response, requestedUs)
                 then()
             } else {
-                cluster.after(SECOND) { cancel(job, (node + 1) % SimulatedCluster.NODES, then) }
+                cluster.after(SECOND) { cancel(job, (node + 1) % cluster.nodes.size, then) }
             }
         }
     }
@@ -121,7 +121,7 @@
     /** Polls all nodes and resubmits [spec] several times within 120 ms. */
     fun pollRepeatedly(spec: JobSpec) {
         for (at in listOf(0L, 1, 2, 4, 8, 15, 40, 120)) {
-            for (node in 0 until SimulatedCluster.NODES) {
+            for (node in 0 until cluster.nodes.size) {
                 cluster.after(at * MILLI) { poll(spec.id, node, "look") }
                 if (at % 4 == 0L) cluster.after(at * MILLI) { submit(spec.id, bodyOf(spec), node, "repeat") }
             }
@@ -159,7 +159,7 @@
         cluster.after(SECOND) { pollToEnd(spec) }
     }
 
-    private fun randomNode(): Int = cluster.random.nextInt(SimulatedCluster.NODES)
+    private fun randomNode(): Int = cluster.random.nextInt(cluster.nodes.size)
 
     /**
      * Submits variants of [spec] that must be rejected: with a field missing, null or of a wrong type, and jobs that
@@ -230,7 +230,7 @@
             rules.machineHung(machine.id, cluster.now)
             hungMachines += machine.id
         }
-        jobs.forEachIndexed { i, job -> cluster.after(i * (SECOND / 5) / jobs.size) { cancel(job, i % SimulatedCluster.NODES) } }
+        jobs.forEachIndexed { i, job -> cluster.after(i * (SECOND / 5) / jobs.size) { cancel(job, i % cluster.nodes.size) } }
         cancelledRunning += jobs
     }
 
@@ -239,7 +239,7 @@
         cluster.onJobCompleted = { job ->
             if (cluster.random.nextInt(HUNDRED_PERCENT) < percent) {
                 cancelledAtEnd += job
-                val cancelling = cluster.random.nextInt(SimulatedCluster.NODES)
+                val cancelling = cluster.random.nextInt(cluster.nodes.size)
                 cancel(job, cancelling)
                 rules.spec(job)?.let(::pollRepeatedly)
             }
