End calls whose outcome is lost, so that no part of the engine waits for ever

Callers would see: a controller answers no poll while its health check succeeds, and with the fewest open connections it attracts users. Cause: the catch-up, the watch, the renewal and the setup requests each wait for the outcome of the last one; HttpCaller reported no outcome when a thread failed with an Error, such as an answer that does not fit into 96 MB of memory.

--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -152,6 +152,7 @@
         context.startStep(now, wallClockUs)
         detectProcessPause()
         events.forEach(::handleSafely)
+        context.expireCalls()
         updateMembership()
         planCapacity()
         updateAgents()
--- a/src/main/kotlin/mintpick/engine/runtime/EngineContext.kt
+++ b/src/main/kotlin/mintpick/engine/runtime/EngineContext.kt
@@ -35,7 +35,7 @@
     var wallClockUs: Micros = 0
         private set
     private val effects = ArrayList<Effect>()
-    private val callbacks = HashMap<Long, (Outcome) -> Unit>()
+    private val pendingCalls = PendingCalls()
     private var lastCall = 0L
 
     /** Starts a step at the monotonic time [now] and the wall-clock time [wallClockUs], both in microseconds. */
@@ -68,7 +68,7 @@
         then: (Outcome) -> Unit,
     ) {
         val id = ++lastCall
-        callbacks[id] = then
+        pendingCalls.add(id, now + PendingCalls.patienceFor(call), then)
         effects += Effect.Start(id, call)
     }
 
@@ -77,9 +77,12 @@
         id: Long,
         outcome: Outcome,
     ) {
-        callbacks.remove(id)?.invoke(outcome)
+        pendingCalls.remove(id)?.invoke(outcome)
     }
 
+    /** Ends calls whose outcomes are missing for much longer than the calls can take, as unanswered. Must be called in each step. */
+    fun expireCalls() = pendingCalls.takeOverdue(now).forEach { it(Outcome.Unanswered) }
+
     /** Replaces the cache by an empty one. Needed after missing changes that the state store's log no longer contains. */
     fun resetCache() {
         cache = LocalCache()
--- a/src/main/kotlin/mintpick/net/HttpCaller.kt
+++ b/src/main/kotlin/mintpick/net/HttpCaller.kt
@@ -11,10 +11,14 @@
  * Thread-safe.
  *
  * @param onOutcome receives the outcome of each call once, on a pool thread, or on the thread that called [start] if the call was rejected
+ * @param open opens a connection to an address within a number of milliseconds
  */
-class HttpCaller(
+class HttpCaller internal constructor(
     private val onOutcome: (id: Long, outcome: Outcome) -> Unit,
+    private val open: (address: String, timeoutMs: Int) -> PooledConnection,
 ) {
+    constructor(onOutcome: (id: Long, outcome: Outcome) -> Unit) : this(onOutcome, PooledConnection::open)
+
     private val state = GrowingPool("state", STATE_THREADS)
     private val urgentState = GrowingPool("lease", 1)
     private val cloud = GrowingPool("cloud", CLOUD_THREADS)
@@ -70,10 +74,10 @@
     private fun perform(call: Call): Outcome {
         var connection: PooledConnection? = null
         try {
-            val open = idle.acquire(call.target.address) ?: connect(call)
-            connection = open
-            val answer = open.exchange(call)
-            if (open.isReusable) idle.release(call.target.address, open) else open.close()
+            val used = idle.acquire(call.target.address) ?: connect(call)
+            connection = used
+            val answer = used.exchange(call)
+            if (used.isReusable) idle.release(call.target.address, used) else used.close()
             return answer
         } catch (e: IOException) {
             logFailure(call, e)
@@ -82,6 +86,9 @@
         } catch (e: RuntimeException) {
             // Still reported as an outcome, because resources reserved for a call are released only when its outcome arrives.
             LOG.warn("call failed target={} path={}", call.target, call.path, e)
+        } catch (e: OutOfMemoryError) {
+            // An answer can be larger than the free memory. Without an outcome, its receiver would wait for it for ever.
+            LOG.error("answer too large for the memory target={} path={}", call.target, call.path, e)
         }
         connection?.close()
         // Once a connection exists, the request may have been sent, whatever failed afterwards.
@@ -90,7 +97,7 @@
 
     private fun connect(call: Call): PooledConnection {
         val timeoutMs = minOf(call.timeoutUs / MILLI, CONNECT_TIMEOUT_MS)
-        return PooledConnection.open(call.target.address, timeoutMs.toInt())
+        return open(call.target.address, timeoutMs.toInt())
     }
 
     /** At debug level only: a dead machine or a network partition fails hundreds of calls, and the engine receives each outcome. */
--- a/src/test/kotlin/mintpick/net/HttpCallerTest.kt
+++ b/src/test/kotlin/mintpick/net/HttpCallerTest.kt
@@ -7,6 +7,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
@@ -126,4 +127,12 @@
             assertEquals(Outcome.NotSent, outcomes.take())
         }
     }
+
+    /** The thread ended without an outcome, and the receiver waited for it for ever. */
+    @Test
+    fun `an answer that does not fit into the memory is reported as an outcome`() {
+        val failing = HttpCaller({ _, outcome -> outcomes.put(outcome) }, { _, _ -> throw OutOfMemoryError("answer") })
+        failing.start(1, Call(Target.State("127.0.0.1:1"), "GET", "/keys", timeoutUs = SECOND))
+        assertEquals(Outcome.NotSent, outcomes.poll(10, TimeUnit.SECONDS))
+    }
 }
--- a/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
+++ b/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
@@ -169,6 +169,9 @@
     /** Additional delay of the answer to a controller's call. */
     var answerDelay: (Node, Call) -> Micros = { _, _ -> 0 }
 
+    /** Calls whose outcome never reaches their controller, although they are carried out. */
+    var losesOutcome: (Node, Call) -> Boolean = { _, _ -> false }
+
     /** Called with the job id when the last task of a job completes. */
     var onJobCompleted: (String) -> Unit = {}
 
@@ -239,10 +242,11 @@
     ) {
         if (call.target is Target.Cloud) cloud.recordRequestName(call, from.name)
         var pending = true
+        val isOutcomeLost = losesOutcome(from, call)
         val complete: (Outcome) -> Unit = { outcome ->
             if (pending) {
                 pending = false
-                done(outcome)
+                if (!isOutcomeLost) done(outcome)
             }
         }
         after(call.timeoutUs) { complete(Outcome.Unanswered) }
