Let a controller save up the writes of one whole job update

Cause: the bucket of writes held one second of a controller's share. With seven controllers at 15 writes a second that is 2.1 writes; a placement of a limited team writes its reservation, the job and up to six chunks, so it was never sent, and blocked those behind it. Change: the bucket holds at least 8 writes; the rate stays the share. Deployments with shares of 8 and more are unchanged.

--- a/src/main/kotlin/mintpick/engine/state/RequestLimits.kt
+++ b/src/main/kotlin/mintpick/engine/state/RequestLimits.kt
@@ -12,10 +12,16 @@
 ) {
     private val controllers = context.settings.peers.size + 1
     private val requests = bucket(context.settings.limits.rps * REQUEST_SHARE / controllers)
-    private val writes = bucket(context.settings.limits.writeRps * WRITE_SHARE / controllers)
+    private val writes = writeBucket(context.settings.limits.writeRps * WRITE_SHARE / controllers)
 
     private fun bucket(perSecond: Double) = TokenBucket(perSecond, perSecond)
 
+    /** Holds at least one whole update of a job, which could otherwise never be sent where the share of a controller is small. */
+    private fun writeBucket(perSecond: Double): TokenBucket {
+        val largestUpdate = minOf(MAX_UPDATE_WRITES, context.settings.limits.transactionOps)
+        return TokenBucket(perSecond, maxOf(perSecond, largestUpdate.toDouble()))
+    }
+
     /** Number of requests that the limit allows now; negative after [chargeRequest] has overdrawn it. */
     fun requestsAvailable(): Double = requests.available(context.now)
 
@@ -34,11 +40,14 @@
     /** Consumes [count] written keys even if that overdraws the limit. */
     fun chargeWrites(count: Int) = writes.charge(context.now, count.toDouble())
 
-    private companion object {
+    companion object {
+        /** Records that the largest update of one job writes: its main record, chunks and its team's reservation. */
+        const val MAX_UPDATE_WRITES = 8
+
         /** Fraction of the request limit that controllers plan to use; the rest is reserved for leases and bursts. */
-        const val REQUEST_SHARE = 0.9
+        private const val REQUEST_SHARE = 0.9
 
         /** Fraction of the write limit that controllers plan to use. */
-        const val WRITE_SHARE = 1.0
+        private const val WRITE_SHARE = 1.0
     }
 }
--- a/src/main/kotlin/mintpick/engine/transactions/TransactionLimits.kt
+++ b/src/main/kotlin/mintpick/engine/transactions/TransactionLimits.kt
@@ -1,6 +1,7 @@
 package mintpick.engine.transactions
 
 import mintpick.core.Job
+import mintpick.engine.state.RequestLimits
 
 /** Limits of one transaction of the state store. Job updates must leave space for the records that are written with them. */
 class TransactionLimits(
@@ -18,9 +19,9 @@
 
     private companion object {
         const val GUARDS_PER_CHANGE = 4
-        const val MAX_CHUNKS = 6
 
         /** The job's main record and its team's reservation. */
         const val RECORDS_BESIDE_CHUNKS = 2
+        const val MAX_CHUNKS = RequestLimits.MAX_UPDATE_WRITES - RECORDS_BESIDE_CHUNKS
     }
 }
--- a/src/test/kotlin/mintpick/testing/SampleJobs.kt
+++ b/src/test/kotlin/mintpick/testing/SampleJobs.kt
@@ -7,23 +7,24 @@
 
 /** Settings and jobs shared by tests. */
 object SampleJobs {
-    /** Settings file of controller [index] of three; [cpusMax] is the limit of team `red`. */
+    /** Settings file of controller [index] of [controllers]; [cpusMax] is the limit of team `red`. */
     fun toml(
         index: Int = 0,
         cpusMax: Double = 24.0,
+        controllers: Int = 3,
     ): String {
         val peers =
-            (0 until 3).filter { it != index }.joinToString("\n") {
+            (0 until controllers).filter { it != index }.joinToString("\n") {
                 """
                 [[peers]]
                 node = "node-$it"
-                domain = "${if (it == 1) "south" else "north"}"
+                domain = "${zoneOf(it)}"
                 addr = "10.0.0.${it + 1}:8081"
                 """.trimIndent()
             }
         return """
             node = "node-$index"
-            domain = "${if (index == 1) "south" else "north"}"
+            domain = "${zoneOf(index)}"
             api_addr = "10.0.0.${index + 1}:8080"
             mesh_addr = "10.0.0.${index + 1}:8081"
             something_new = 7
@@ -34,7 +35,7 @@
             state = "10.2.0.1:2379"
 
             [settings]
-            initial_size = 3
+            initial_size = $controllers
             zones = ["north", "south"]
             clock_error_ms = 100.0
 
@@ -68,6 +69,9 @@
             """.trimIndent()
     }
 
+    /** Zone of controller [index]: one of three, or half of more, is in the south. */
+    private fun zoneOf(index: Int): String = if (index % 2 == 1) "south" else "north"
+
     fun settings(
         index: Int = 0,
         cpusMax: Double = 24.0,
