Soak: controllers as real processes under random faults, against stand-ins for all other parties

Three to seven processes with the options of deploy/service.toml; the stand-ins keep to the protocol (limits, 429, leases, watches, late transactions) and the checker is the model's, fed only by what the stand-ins saw.

--- /dev/null
+++ b/src/test/kotlin/mintpick/soak/SoakRun.kt
@@ -0,0 +1,221 @@
+package mintpick.soak
+
+import mintpick.core.Micros
+import mintpick.core.SECOND
+import mintpick.testing.RuleChecker
+import mintpick.testing.SampleJobs
+import mintpick.testing.SimulatedAgent
+import mintpick.testing.SimulatedStateStore
+import mintpick.testing.TaskWatcher
+import mintpick.wire.JobSpec
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.util.SplittableRandom
+import java.util.concurrent.Executors
+
+/** Size of a soak run. */
+internal class SoakSize(
+    val controllers: Int = 3,
+    val machines: Int = 24,
+    val jobs: Int = 24,
+    val faults: Int = 6,
+    val faultSpanUs: Micros = 30 * SECOND,
+)
+
+/** Outcome of a soak run. */
+internal class SoakResult(
+    val seed: Long,
+    val schedule: List<ScheduledFault>,
+    val breaches: List<String>,
+    val unanswered: List<String>,
+    val starts: Int,
+    val machines: Int,
+    val answers: Map<String, Int>,
+    val quietForUs: Micros,
+    val logs: String,
+) {
+    val hasFailed: Boolean get() = breaches.isNotEmpty() || unanswered.isNotEmpty() || starts == 0
+
+    override fun toString() =
+        "seed $seed: breaches $breaches, unanswered ${unanswered.take(3)}, $starts starts on $machines machines, answers $answers, " +
+            "all answered ${quietForUs / SECOND} s after the last fault, logs in $logs, faults:\n  ${schedule.joinToString("\n  ")}"
+}
+
+/** One run of controllers as real processes over loopback, against stand-ins for all other parties, with faults drawn from [seed]. */
+internal class SoakRun(
+    private val seed: Long,
+    private val size: SoakSize,
+) : TaskWatcher {
+    private val startNs = System.nanoTime()
+    private val lock = Any()
+    private val random = SplittableRandom(seed)
+    private val timer = Executors.newScheduledThreadPool(TIMER_THREADS) { Thread(it, "soak").apply { isDaemon = true } }
+    private val directory = Files.createTempDirectory("mintpick-soak-$seed-")
+    private val store = SimulatedStateStore()
+    private val rules = RuleChecker(SoakSettings.CANCEL, mapOf("red" to SoakSettings.RED_CPUS_MAX))
+    private val client = SoakClient()
+
+    private fun nowUs(): Micros = (System.nanoTime() - startNs) / NANOS_PER_MICRO
+
+    /** Plays the run and ends all its processes. */
+    fun play(): SoakResult {
+        val controllers = ArrayList<ControllerProcess>()
+        val agents = StandInAgents(controllers, client, lock, timer, random.split(), ::nowUs, this)
+        val cloud = StandInCloud(size.machines, agents, timer, random.split(), ::nowUs)
+        val state = StandInStateStore(store, lock, timer, random.split(), ::nowUs) { controllers[it].faults }
+        val endAll = Thread { controllers.forEach { it.kill() } }
+        Runtime.getRuntime().addShutdownHook(endAll)
+        try {
+            createControllers(controllers, state, cloud)
+            return play(controllers, agents, cloud)
+        } finally {
+            timer.shutdownNow()
+            endAll.run()
+            Runtime.getRuntime().removeShutdownHook(endAll)
+            agents.close()
+            cloud.close()
+            state.close()
+        }
+    }
+
+    private fun createControllers(
+        controllers: MutableList<ControllerProcess>,
+        state: StandInStateStore,
+        cloud: StandInCloud,
+    ) {
+        store.limits = SimulatedStateStore.StateLimits(VALUE_BYTES, TRANSACTION_CHANGES, CHANGES_PER_SECOND)
+        store.retainedChanges = RETAINED_CHANGES
+        val addresses = List(size.controllers) { SoakSettings.Addresses(freeAddress(), freeAddress(), state.addressFor(it)) }
+        for (i in 0 until size.controllers) {
+            controllers += ControllerProcess(i, directory, addresses[i], SoakSettings.toml(i, addresses, cloud.address))
+        }
+        controllers.forEach { it.start() }
+    }
+
+    private fun play(
+        controllers: List<ControllerProcess>,
+        agents: StandInAgents,
+        cloud: StandInCloud,
+    ): SoakResult {
+        val users = SoakUsers(controllers, client, rules, lock, timer, random.split(), ::nowUs)
+        checkRules()
+        submitJobs(users)
+        awaitFirstStarts()
+        val targets = SoakTargets(controllers, agents, cloud, timer) { synchronized(lock) { store.unavailable = it } }
+        val schedule = SoakFaults(targets, random.split()).draw(size.faults, size.faultSpanUs)
+        for (fault in schedule) {
+            timer.after(fault.atUs) { fault.begin() }
+            timer.after(fault.atUs + fault.durationUs) { fault.end() }
+        }
+        Thread.sleep((size.faultSpanUs + SECOND) / MICROS_PER_MILLI)
+        endFaults(targets)
+        val quietSinceUs = nowUs()
+        synchronized(lock) { rules.faultsOverAtUs = quietSinceUs }
+        awaitAnswers(users, quietSinceUs)
+        return synchronized(lock) {
+            val breaches = rules.breaches.distinct().take(5)
+            val unanswered = users.unansweredSince(quietSinceUs)
+            val quietForUs = nowUs() - quietSinceUs
+            SoakResult(
+                seed,
+                schedule,
+                breaches,
+                unanswered,
+                rules.starts,
+                agents.size,
+                users.answers.toSortedMap(),
+                quietForUs,
+                "$directory",
+            )
+        }
+    }
+
+    private fun checkRules() {
+        synchronized(lock) { rules.tick(nowUs()) }
+        timer.after(SECOND / 5) { checkRules() }
+    }
+
+    private fun submitJobs(users: SoakUsers) {
+        for (n in 1..size.jobs) {
+            val cancelAfterUs = if (n % 4 == 0) random.seconds(5, 50) else null
+            timer.after(random.seconds(1, 40)) { users.add(jobOf(n), cancelAfterUs) }
+            timer.after(random.seconds(1, 40)) { users.pollUnknown("req-%06d".format(UNKNOWN_JOBS + n)) }
+        }
+    }
+
+    private fun jobOf(n: Int): JobSpec {
+        val id = "req-%06d".format(n)
+        return when (n % 3) {
+            0 -> SampleJobs.service(n, team = "blue", tasks = 2, spread = n % 2 == 0)
+            1 -> SampleJobs.spec(id, team = "red", tasks = 6, cpus = 1.0, estimateS = 4.0)
+            else -> SampleJobs.spec(id, team = "blue", tasks = 4, cpus = 2.0, estimateS = 8.0, oneZone = n % 2 == 0)
+        }
+    }
+
+    private fun awaitFirstStarts() {
+        val deadlineUs = nowUs() + START_TIMEOUT
+        while (synchronized(lock) { rules.starts } == 0 && nowUs() < deadlineUs) Thread.sleep(POLL_MS)
+    }
+
+    private fun endFaults(targets: SoakTargets) {
+        targets.controllers.forEach {
+            it.faults.clear()
+            it.resume()
+            it.start()
+        }
+        targets.agents.lateCopies = 0
+        targets.cloud.isUnavailable = false
+        targets.setStateUnavailable(false)
+    }
+
+    /** Waits until every accepted job was answered since [quietSinceUs], for as long as the rule allows. */
+    private fun awaitAnswers(
+        users: SoakUsers,
+        quietSinceUs: Micros,
+    ) {
+        val deadlineUs = quietSinceUs + ANSWER_BOUND
+        while (users.unansweredSince(quietSinceUs).isNotEmpty() && nowUs() < deadlineUs) Thread.sleep(POLL_MS)
+    }
+
+    private fun freeAddress(): String = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { "127.0.0.1:${it.localPort}" }
+
+    override fun started(
+        machine: SimulatedAgent,
+        task: String,
+        now: Micros,
+    ) = synchronized(lock) { rules.started(task, RuleChecker.TaskPlace(machine.id, machine.zone, machine.spot), now) }
+
+    override fun ended(
+        machine: SimulatedAgent,
+        task: String,
+        completed: Boolean,
+        now: Micros,
+    ) = synchronized(lock) { rules.ended(task, completed, now) }
+
+    override fun runTimeUs(task: String): Micros? {
+        val spec = synchronized(lock) { rules.spec(task.substringBeforeLast('/')) } ?: return null
+        return if (spec.estimateS == 0.0) null else (spec.estimateS * SECOND).toLong()
+    }
+
+    override fun fails(
+        machine: SimulatedAgent,
+        task: String,
+    ): Boolean = false
+
+    private companion object {
+        const val TIMER_THREADS = 24
+        const val NANOS_PER_MICRO = 1_000L
+        const val MICROS_PER_MILLI = 1_000L
+        const val POLL_MS = 100L
+        const val UNKNOWN_JOBS = 500_000
+        const val VALUE_BYTES = 16 * 1024
+        const val TRANSACTION_CHANGES = 16
+        const val CHANGES_PER_SECOND = 40.0
+        const val RETAINED_CHANGES = 10_000
+        const val START_TIMEOUT: Micros = 30 * SECOND
+
+        /** The rule's bound on the time without an answer after the last fault. */
+        const val ANSWER_BOUND: Micros = 75 * SECOND
+    }
+}
