--- a/src/test/kotlin/mintpick/simulation/RandomFaultsTest.kt
+++ b/src/test/kotlin/mintpick/simulation/RandomFaultsTest.kt
@@ -1,5 +1,7 @@
 package mintpick.simulation
 
+import mintpick.testing.ClusterShape
+import mintpick.testing.SEVEN_CONTROLLERS
 import mintpick.testing.playRandomFaultDay
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
@@ -12,14 +14,24 @@
  */
 class RandomFaultsTest {
     @Test
-    fun `no rule is broken on days with two or three overlapping faults`() {
+    fun `no rule is broken on days with two or three overlapping faults`() =
+        assertNoRuleBroken(ClusterShape(), ordinaryDays = ORDINARY_DAYS)
+
+    @Test
+    fun `no rule is broken on such days with seven controllers that share few writes`() =
+        assertNoRuleBroken(SEVEN_CONTROLLERS, ordinaryDays = ORDINARY_DAYS / 2)
+
+    private fun assertNoRuleBroken(
+        shape: ClusterShape,
+        ordinaryDays: Int,
+    ) {
         val first = java.lang.Long.getLong("mintpick.first", 1)
-        val count = Integer.getInteger("mintpick.days", ORDINARY_DAYS)
+        val count = Integer.getInteger("mintpick.days", ORDINARY_DAYS) * ordinaryDays / ORDINARY_DAYS
         val days =
             (first until first + count)
                 .toList()
                 .parallelStream()
-                .map { playRandomFaultDay(it) }
+                .map { playRandomFaultDay(it, shape) }
                 .toList()
         val kinds = days.flatMap { it.faults }.groupingBy { it }.eachCountTo(TreeMap())
         println("drawn days: ${days.size} from seed $first on, starts: ${days.sumOf { it.starts }}, faults: $kinds")
--- a/src/test/kotlin/mintpick/testing/RandomFaultDay.kt
+++ b/src/test/kotlin/mintpick/testing/RandomFaultDay.kt
@@ -1,5 +1,6 @@
 package mintpick.testing
 
+import mintpick.config.Settings
 import mintpick.core.SECOND
 import mintpick.wire.JobKind
 import mintpick.wire.JobSpec
@@ -44,12 +45,23 @@
         else -> emptyList()
     }
 
+/** Number of controllers, and settings of each. */
+internal class ClusterShape(
+    val controllers: Int = 3,
+    val limits: SimulatedStateStore.StateLimits? = null,
+    val toml: (Int) -> String = { SampleJobs.toml(it) },
+)
+
 /** Simulates random jobs and faults drawn from [seed]. [prepare] may configure the cluster, such as which engine its controllers run. */
 internal fun playRandomFaultDay(
     seed: Long,
+    shape: ClusterShape = ClusterShape(),
     prepare: (SimulatedCluster) -> Unit = {},
 ): RandomFaultDay {
-    val cluster = SimulatedCluster(seed, FaultRates(lost = 2, lostAnswer = 2, late = 3, duplicated = 30)) { SampleJobs.settings(it) }
+    val faultRates = FaultRates(lost = 2, lostAnswer = 2, late = 3, duplicated = 30)
+    val size = ClusterSize(controllers = shape.controllers)
+    val cluster = SimulatedCluster(seed, faultRates, size) { Settings.parse(shape.toml(it)) }
+    cluster.state.limits = shape.limits
     prepare(cluster)
     (1..JOBS).forEach { n ->
         val cancelAfterUs = if (n % 4 == 0) cluster.random.nextLong(70 * SECOND) else null
--- a/src/test/kotlin/mintpick/testing/SevenControllers.kt
+++ b/src/test/kotlin/mintpick/testing/SevenControllers.kt
@@ -1,9 +1,20 @@
 package mintpick.testing
 
+/** Seven controllers under the limits of [sevenControllersToml], which the state store enforces. */
+internal val SEVEN_CONTROLLERS =
+    ClusterShape(
+        controllers = 7,
+        limits = SimulatedStateStore.StateLimits(valueBytes = 8 * 1024, changes = 12, changesPerSecond = 15.0),
+        toml = { sevenControllersToml(it, cpusMax = 24.0) },
+    )
+
 /** Settings of controller [index] of seven, with a state store of few writes, small values and small transactions. */
-internal fun sevenControllersToml(index: Int): String =
+internal fun sevenControllersToml(
+    index: Int,
+    cpusMax: Double = 1500.0,
+): String =
     SampleJobs
-        .toml(index, cpusMax = 1500.0, controllers = 7)
+        .toml(index, cpusMax, controllers = 7)
         .replace("report_s = 3.0", "report_s = 2.0")
         .replace("lease_s = 18.0", "lease_s = 12.0")
         .replace("cancel_s = 43.0", "cancel_s = 42.0")
