--- a/src/main/kotlin/mintpick/engine/EventLoopMetrics.kt
+++ b/src/main/kotlin/mintpick/engine/EventLoopMetrics.kt
@@ -67,8 +67,8 @@
     fun takeReport(): String {
         val kinds = waits.map { (kind, it) -> "${kind.label()}=${it.count} longest_wait_ms=${it.longestUs / MILLI}" }
         val report =
-            "steps=$steps longest_step_ms=${longestStepUs / MILLI} discarded_effects=$discardedEffects longest_queue=$longestQueue expired=$expiredRequests " +
-                "events ${kinds.joinToString(" ")}"
+            "steps=$steps longest_step_ms=${longestStepUs / MILLI} discarded_effects=$discardedEffects " +
+                "longest_queue=$longestQueue expired=$expiredRequests events ${kinds.joinToString(" ")}"
         waits.clear()
         steps = 0
         longestStepUs = 0
