--- a/src/main/kotlin/mintpick/engine/membership/ShardRebalancer.kt
+++ b/src/main/kotlin/mintpick/engine/membership/ShardRebalancer.kt
@@ -4,6 +4,7 @@
 import mintpick.core.Micros
 import mintpick.core.NodeId
 import mintpick.core.SECOND
+import mintpick.core.ceilDiv
 import mintpick.engine.cache.Claim
 import mintpick.engine.runtime.EngineContext
 import mintpick.engine.state.StateStoreClient
@@ -116,11 +117,6 @@
     private fun shardTargets(claims: Map<Int, Claim>): List<ClaimTarget> =
         claims.map { (shard, claim) -> ClaimTarget(Keys.shard(shard), claim.version) }
 
-    private fun ceilDiv(
-        dividend: Int,
-        divisor: Int,
-    ): Int = (dividend + divisor - 1) / divisor
-
     private companion object {
         /** Time after this controller has joined during which other controllers are expected to join too. */
         const val START_PERIOD: Micros = 3 * SECOND
--- a/src/main/kotlin/mintpick/engine/state/UsageLayout.kt
+++ b/src/main/kotlin/mintpick/engine/state/UsageLayout.kt
@@ -1,5 +1,7 @@
 package mintpick.engine.state
 
+import mintpick.core.ceilDiv
+
 /**
  * Assigns a controller's usage by team to records (pieces). Each piece contains as many time slots and teams as fit into a value
  * of [valueBytes]. A piece is reused only after all of its slots have left the window, and only the pieces of the current slot
@@ -33,11 +35,6 @@
         return maxOf(1, ((valueBytes - HEAD_BYTES) / slotBytes).toInt())
     }
 
-    private fun ceilDiv(
-        count: Int,
-        perPiece: Int,
-    ): Int = (count + perPiece - 1) / perPiece
-
     /** The pieces that contain [slot], one for each range of teams. */
     fun piecesOf(slot: Long): List<Piece> {
         val group = slot / slotsPerPiece
