--- a/src/main/kotlin/mintpick/engine/HeartbeatLimit.kt
+++ b/src/main/kotlin/mintpick/engine/HeartbeatLimit.kt
@@ -5,8 +5,8 @@
 
 /**
  * How many heartbeats one step may handle, so that steps stay short however slow the processor is at present: the classes of a process
- * that has just started are not compiled yet, and its peers may leave it all agents at once. The limit is halved after a long step and
- * doubled after a short one that used it up. Event-loop thread only.
+ * that has just started are not compiled yet, and its peers may leave it all agents at once. After a step that used the limit up, it is
+ * halved if the step was long and doubled if not; any other step was long for other reasons. Event-loop thread only.
  */
 internal class HeartbeatLimit {
     /** The limit for the next step. */
@@ -18,11 +18,8 @@
         durationUs: Micros,
         heartbeats: Int,
     ) {
-        if (durationUs > TARGET_STEP) {
-            current = maxOf(MIN_HEARTBEATS, current / 2)
-        } else if (heartbeats >= current) {
-            current = minOf(EventQueue.MAX_HEARTBEATS, current * 2)
-        }
+        if (heartbeats < current) return
+        current = if (durationUs > TARGET_STEP) maxOf(MIN_HEARTBEATS, current / 2) else minOf(EventQueue.MAX_HEARTBEATS, current * 2)
     }
 
     private companion object {
--- a/src/main/kotlin/mintpick/net/Calls.kt
+++ b/src/main/kotlin/mintpick/net/Calls.kt
@@ -75,10 +75,20 @@
     val contentType: String = "application/json",
     /** Whether to close the connection after this answer. */
     val closes: Boolean = false,
-    /** Why the request was not carried out; null if it was. */
-    val reason: String? = null,
 ) {
+    /** Why the request was not carried out; null if it was. */
+    var reason: String? = null
+        private set
+
     companion object {
+        /** Builds an answer with the JSON in [text] as its body to a request that was not carried out because of [reason]. */
+        fun refusal(
+            status: Int,
+            text: String,
+            retryAfterS: Int?,
+            reason: String,
+        ) = json(status, text, retryAfterS).also { it.reason = reason }
+
         /** Builds an answer with the JSON in [text] as its body. */
         fun json(
             status: Int,
--- a/src/main/kotlin/mintpick/net/HttpFront.kt
+++ b/src/main/kotlin/mintpick/net/HttpFront.kt
@@ -31,16 +31,17 @@
     return response
 }
 
-/**
- * Builds an error answer. [message] is meant for people; [retryAfterS] is the number of seconds to wait before a retry; [reason] is
- * counted in the log and must be one of few texts if [status] is 429 or 503.
- */
+/** Builds an error answer. [message] is meant for people; [retryAfterS] is the number of seconds to wait before a retry. */
 fun errorAnswer(
     status: Int,
     message: String,
     retryAfterS: Int? = null,
-    reason: String = message,
-): Answer {
-    val body = WireJson.encodeToString(ErrorAnswer.serializer(), ErrorAnswer(message)).encodeToByteArray()
-    return Answer(status, body, retryAfterS, reason = reason)
-}
+): Answer = refusal(status, message, retryAfterS, reason = message)
+
+/** Builds an error answer like [errorAnswer] that is counted in the log under [reason], one of few texts. */
+internal fun refusal(
+    status: Int,
+    message: String,
+    retryAfterS: Int?,
+    reason: String,
+): Answer = Answer.refusal(status, WireJson.encodeToString(ErrorAnswer.serializer(), ErrorAnswer(message)), retryAfterS, reason)
--- a/src/main/kotlin/mintpick/users/UnansweredRequests.kt
+++ b/src/main/kotlin/mintpick/users/UnansweredRequests.kt
@@ -7,6 +7,7 @@
 import mintpick.net.Answer
 import mintpick.net.Respond
 import mintpick.net.errorAnswer
+import mintpick.net.refusal
 import mintpick.net.toResponse
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
@@ -101,6 +102,6 @@
         /** Equal to the timeout of an agent's heartbeat. */
         const val MAX_WAIT: Micros = 4 * SECOND
         val TOO_MANY = errorAnswer(UNAVAILABLE, "too many requests", RETRY_AFTER_S)
-        val TOO_MANY_USERS = errorAnswer(UNAVAILABLE, "too many requests", RETRY_AFTER_S, reason = "too many user requests")
+        val TOO_MANY_USERS = refusal(UNAVAILABLE, "too many requests", RETRY_AFTER_S, reason = "too many user requests")
     }
 }
--- a/src/test/kotlin/mintpick/engine/EventQueueTest.kt
+++ b/src/test/kotlin/mintpick/engine/EventQueueTest.kt
@@ -74,6 +74,7 @@
         val lowest = limit.current
         assertTrue(lowest in 1 until EventQueue.MAX_HEARTBEATS / 4, "$lowest")
         limit.onStep(10 * MILLI, lowest - 1)
+        limit.onStep(SECOND, lowest - 1)
         assertEquals(lowest, limit.current, "a batch below the limit says nothing")
         repeat(10) { limit.onStep(10 * MILLI, limit.current) }
         assertEquals(EventQueue.MAX_HEARTBEATS, limit.current)
