Guard every shard claim by the shard's epoch: no token above a borrowing that its writer has not read

Users saw a task on two machines (ran_twice) at 103.3 s. A controller that had not yet read a borrowing met the borrower's token in a heartbeat and rewrote the claim of the whole shard, guarded by that claim's version alone, which a borrowing leaves as it is. It then held a token above the borrower's for the same machine, kept the agent's lease through the outage of the state store, and the borrower took the silence for an expired lease.

The class: a right that one path checks (placements carry the epoch) and another does not (claims). Six paths wrote a shard claim without the epoch: raiseToken, takeOverShard, restoreShards, renewSupersededClaims, claimFreeShards and rebalance.

A cached epoch has to prove that all borrowings up to it have been read. An own borrowing was entered into the cache as soon as it was known to be committed, ahead of others that had not been read yet. So the epoch that a borrowing writes is cached only when it is read back in order (Write.isCachedOnCommit).

--- a/src/main/kotlin/mintpick/engine/membership/MachineControl.kt
+++ b/src/main/kotlin/mintpick/engine/membership/MachineControl.kt
@@ -6,7 +6,6 @@
 import mintpick.core.SECOND
 import mintpick.engine.runtime.EngineContext
 import mintpick.engine.state.StateStoreClient
-import mintpick.store.Keys
 
 /** Takes over and borrows machines, raises their fencing tokens and returns borrowed machines; [ShardClaims] documents each function. */
 internal class MachineControl(
@@ -37,22 +36,21 @@
         if (!wholeShard || machine in cache.borrows) {
             writer.claim(listOf(borrowTarget(machine)), reason, setOf(shard)) { then() }
         } else {
-            takeOverShard(shard, claim.version, reason, then)
+            takeOverShard(ClaimTarget.Shard(shard, claim.version), reason, then)
         }
     }
 
     /** Takes over a whole shard. Hundreds of its machines may need it at the same time; one transaction serves all of them. */
     private fun takeOverShard(
-        shard: Int,
-        version: Long,
+        target: ClaimTarget.Shard,
         reason: String,
         then: () -> Unit,
     ) {
-        val waiters = takeoverWaiters.getOrPut(shard) { ArrayList() }
+        val waiters = takeoverWaiters.getOrPut(target.shard) { ArrayList() }
         waiters += then
         if (waiters.size > 1) return
-        writer.claim(listOf(ClaimTarget(Keys.shard(shard), version)), reason) {
-            takeoverWaiters.remove(shard)?.forEach { it() }
+        writer.claim(listOf(target), reason) {
+            takeoverWaiters.remove(target.shard)?.forEach { it() }
         }
     }
 
@@ -61,12 +59,11 @@
         machine: MachineId,
         reason: String,
     ) {
-        val claim = directory.controlClaim(machine)
-        val key = directory.controlKey(machine)
-        if (claim == null || key == null || !directory.isOwn(claim)) return
-        if (context.now - (lastRaiseUs[key] ?: -MIN_RAISE_INTERVAL) < MIN_RAISE_INTERVAL) return
-        lastRaiseUs[key] = context.now
-        writer.claim(listOf(ClaimTarget(key, claim.version)), reason)
+        val target = directory.controlTarget(machine)
+        if (target == null || !directory.isOwn(directory.controlClaim(machine))) return
+        if (context.now - (lastRaiseUs[target.key] ?: -MIN_RAISE_INTERVAL) < MIN_RAISE_INTERVAL) return
+        lastRaiseUs[target.key] = context.now
+        writer.claim(listOf(target), reason)
     }
 
     /** See [ShardClaims.borrow]. */
@@ -95,7 +92,7 @@
         if (machine in cache.borrows) writer.delete(borrowTarget(machine))
     }
 
-    private fun borrowTarget(machine: MachineId) = ClaimTarget(Keys.borrow(machine.text), cache.borrows[machine]?.version ?: 0)
+    private fun borrowTarget(machine: MachineId) = ClaimTarget.Borrow(machine, cache.borrows[machine]?.version ?: 0)
 
     private companion object {
         /** Shortest time between two raises of the same token. */
--- a/src/main/kotlin/mintpick/engine/membership/ShardDirectory.kt
+++ b/src/main/kotlin/mintpick/engine/membership/ShardDirectory.kt
@@ -61,9 +61,12 @@
         claim: Claim,
     ): Boolean = claim.version < (cache.borrowEndRevisions[machine] ?: 0)
 
-    /** Key of the claim record that controls [machine]; null if its zone is unknown. */
-    fun controlKey(machine: MachineId): String? =
-        if (machine in cache.borrows) Keys.borrow(machine.text) else shard(machine)?.let { Keys.shard(it) }
+    /** The claim record that controls [machine], as it is to be rewritten; null if no claim controls the machine. */
+    fun controlTarget(machine: MachineId): ClaimTarget? {
+        val claim = controlClaim(machine) ?: return null
+        if (machine in cache.borrows) return ClaimTarget.Borrow(machine, claim.version)
+        return shard(machine)?.let { ClaimTarget.Shard(it, claim.version) }
+    }
 
     /** See [ShardClaims.isOwn]. */
     fun isOwn(claim: Claim?): Boolean = claim != null && claim.node == context.self && claim.lease == stateStore.lease
--- a/src/main/kotlin/mintpick/engine/membership/ShardRebalancer.kt
+++ b/src/main/kotlin/mintpick/engine/membership/ShardRebalancer.kt
@@ -8,7 +8,6 @@
 import mintpick.engine.cache.Claim
 import mintpick.engine.runtime.EngineContext
 import mintpick.engine.state.StateStoreClient
-import mintpick.store.Keys
 
 /** Claims shards and the leadership for this controller, and balances the shards of every zone among the controllers. */
 internal class ShardRebalancer(
@@ -37,7 +36,7 @@
         val leader = cache.leader
         // Other controllers do not claim the leadership while a claim of an earlier process of this one exists.
         if (leader == null || isOfEarlierProcess(leader)) {
-            writer.claim(listOf(ClaimTarget(Keys.LEADER, leader?.version ?: 0)), "leader")
+            writer.claim(listOf(ClaimTarget.Leader(leader?.version ?: 0)), "leader")
         }
     }
 
@@ -52,7 +51,7 @@
     /** Rewrites borrow claims of an earlier process; see [restoreShards]. */
     private fun restoreBorrows() {
         val stale = cache.borrows.filterValues(::isOfEarlierProcess)
-        val targets = stale.map { (machine, claim) -> ClaimTarget(Keys.borrow(machine.text), claim.version) }
+        val targets = stale.map { (machine, claim) -> ClaimTarget.Borrow(machine, claim.version) }
         if (targets.isNotEmpty()) writer.claim(targets, "restored")
     }
 
@@ -65,7 +64,7 @@
                     claim != null && directory.isOwn(claim) && directory.isSuperseded(machine, claim)
                 }
             }
-        val targets = shards.map { ClaimTarget(Keys.shard(it), cache.claims[it]?.version ?: 0) }
+        val targets = shards.map { ClaimTarget.Shard(it, cache.claims[it]?.version ?: 0) }
         if (targets.isNotEmpty()) writer.claim(targets, "superseded")
     }
 
@@ -79,7 +78,7 @@
         val share = ceilDiv(directory.shardCount, maxOf(1, controllers.size))
         val maxWait = maxWaitForBalancedOwner(controllers)
         val wanted = free.filter { balancedOwner(it, controllers) == context.self || claimAges.unclaimedForUs(it) > maxWait }
-        val targets = wanted.take((share - owned).coerceAtLeast(0)).map { ClaimTarget(Keys.shard(it), 0) }
+        val targets = wanted.take((share - owned).coerceAtLeast(0)).map { ClaimTarget.Shard(it, 0) }
         if (targets.isNotEmpty()) writer.claim(targets, "free")
     }
 
@@ -115,7 +114,7 @@
     ): NodeId? = if (controllers.isEmpty()) null else controllers[shard % ShardClaims.PARTITIONS % controllers.size]
 
     private fun shardTargets(claims: Map<Int, Claim>): List<ClaimTarget> =
-        claims.map { (shard, claim) -> ClaimTarget(Keys.shard(shard), claim.version) }
+        claims.map { (shard, claim) -> ClaimTarget.Shard(shard, claim.version) }
 
     private companion object {
         /** Time after this controller has joined during which other controllers are expected to join too. */
--- a/src/main/kotlin/mintpick/engine/state/TransactionDispatcher.kt
+++ b/src/main/kotlin/mintpick/engine/state/TransactionDispatcher.kt
@@ -48,7 +48,7 @@
     fun writesAllowed(): Int = if (mayWrite) limits.writesAvailable().toInt() else 0
 
     /**
-     * Sends a transaction of [changes] under [guards]. Committed changes are in the cache before [onResult] is called. If the
+     * Sends a transaction of [changes] under [guards]. Committed changes are in the cache before [onResult] is called, except those not [Write.isCachedOnCommit]. If the
      * cache was reset in the meantime, [onResult] receives an unknown outcome; the reload brings the changes or later ones.
      */
     fun transact(
@@ -67,7 +67,9 @@
             sentUsOfUnanswered.remove(number)
             val result = protocol.readTransaction(outcome)
             recordOutcome(sent, outcome, result)
-            if (result is TransactionResult.Committed) changes.forEach { cacheAtSend.apply(it.key, it.value, result.revision) }
+            if (result is TransactionResult.Committed) {
+                changes.filter { it.isCachedOnCommit }.forEach { cacheAtSend.apply(it.key, it.value, result.revision) }
+            }
             if (result is TransactionResult.TooLarge) onTooLarge(guards, changes)
             // A new cache may not contain the changes yet, and answers to users must agree with the cached records.
             onResult(if (cacheAtSend === context.cache) result else TransactionResult.Unknown)
--- a/src/test/kotlin/mintpick/soak/SoakRun.kt
+++ b/src/test/kotlin/mintpick/soak/SoakRun.kt
@@ -2,6 +2,7 @@
 
 import mintpick.core.Micros
 import mintpick.core.SECOND
+import mintpick.store.Keys
 import mintpick.testing.RuleChecker
 import mintpick.testing.SampleJobs
 import mintpick.testing.SimulatedAgent
@@ -195,6 +196,11 @@
         now: Micros,
     ) = synchronized(lock) { rules.ended(task, completed, now) }
 
+    override fun tokenRaised(
+        machine: SimulatedAgent,
+        token: Long,
+    ) = synchronized(lock) { rules.tokenRaised(machine.id, token, store.version(Keys.borrow(machine.id))) }
+
     override fun runTimeUs(task: String): Micros? {
         val spec = synchronized(lock) { rules.spec(task.substringBeforeLast('/')) } ?: return null
         return if (spec.estimateS == 0.0) null else (spec.estimateS * SECOND).toLong()
--- a/src/test/kotlin/mintpick/testing/RuleChecker.kt
+++ b/src/test/kotlin/mintpick/testing/RuleChecker.kt
@@ -183,6 +183,18 @@
         if (completed && isComplete(job)) completeAt.putIfAbsent(job, now)
     }
 
+    /**
+     * The agent of [machine] accepted [token] while the stored claim of the borrowed machine had version [borrowedVersion], or 0
+     * without one. No controller may hold a token that the agent prefers to the borrower's.
+     */
+    fun tokenRaised(
+        machine: String,
+        token: Long,
+        borrowedVersion: Long,
+    ) {
+        if (borrowedVersion in 1 until token) breaches += "two_tokens: $machine accepted $token while borrowed with $borrowedVersion"
+    }
+
     fun cancelRequested(job: String) {
         cancelRequests += job
     }
--- a/src/test/kotlin/mintpick/testing/SimulatedAgent.kt
+++ b/src/test/kotlin/mintpick/testing/SimulatedAgent.kt
@@ -24,6 +24,12 @@
         now: Micros,
     )
 
+    /** The agent of [machine] has accepted the fencing token [token], which is higher than all before. */
+    fun tokenRaised(
+        machine: SimulatedAgent,
+        token: Long,
+    )
+
     /** Run time of [task]; null: it runs until stopped. */
     fun runTimeUs(task: String): Micros?
 
@@ -180,6 +186,7 @@
         if (seen > token) {
             token = seen
             changed = true
+            watcher.tokenRaised(this, seen)
         }
     }
 
--- a/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
+++ b/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
@@ -14,6 +14,7 @@
 import mintpick.net.Call
 import mintpick.net.Outcome
 import mintpick.net.Target
+import mintpick.store.Keys
 import mintpick.wire.CommandBatch
 import mintpick.wire.JobSpec
 import mintpick.wire.MachineReport
@@ -497,6 +498,11 @@
         if (!wasComplete && rules.isComplete(job)) onJobCompleted(job)
     }
 
+    override fun tokenRaised(
+        machine: SimulatedAgent,
+        token: Long,
+    ) = rules.tokenRaised(machine.id, token, state.version(Keys.borrow(machine.id)))
+
     override fun runTimeUs(task: String): Micros? {
         runTimes[task]?.let { return it }
         val spec = rules.spec(task.substringBeforeLast('/')) ?: return null
--- a/src/test/kotlin/mintpick/testing/SimulatedStateStore.kt
+++ b/src/test/kotlin/mintpick/testing/SimulatedStateStore.kt
@@ -49,6 +49,9 @@
     /** Watches that start before this revision are refused as compacted. */
     var oldestWatchableRevision = 0L
 
+    /** Called after each transaction that was committed, or whose guards did not hold. */
+    var onTransaction: (Transaction, isCommitted: Boolean) -> Unit = { _, _ -> }
+
     /** Order in which a watch delivers its events. */
     var eventOrder: (List<StateEvent>) -> List<StateEvent> = { it }
 
@@ -157,6 +160,9 @@
         )
     }
 
+    /** Version of [key]; 0 if there is no record. */
+    fun version(key: String): Long = items[key]?.version ?: 0
+
     /** All keys with their values as text. */
     fun keys(): List<Pair<String, String>> = items.map { it.key to it.value.value.toString() }
 
@@ -200,6 +206,7 @@
         transaction.changes.forEach { writesByKind.merge((it.put ?: it.delete).orEmpty().split('/').getOrElse(1) { "" }, 1, Int::plus) }
         val failed = transaction.guards.filter { (items[it.key]?.version ?: 0) != it.version }.map { it.key }
         if (failed.isNotEmpty()) {
+            onTransaction(transaction, false)
             return HttpAnswer(
                 409,
                 WireJson.encodeToString(TransactionAnswer.serializer(), TransactionAnswer(revision, failed)),
@@ -208,6 +215,7 @@
         if (transaction.changes.any { it.lease != null && it.lease !in leases }) return HttpAnswer(400, """{"error":"no such lease"}""")
         if (transaction.changes.isNotEmpty()) revision++
         transaction.changes.forEach(::apply)
+        onTransaction(transaction, true)
         return HttpAnswer(200, WireJson.encodeToString(TransactionAnswer.serializer(), TransactionAnswer(revision)))
     }
 
