Try a claim again once the records are read if only an epoch has refused it

Trace: a peer's takeover of the whole shard 22 was refused because a machine of it had just been taken over singly (log: claim refused keys=[s/22] reason=unserved failed=[v/22] revision=206 known=203). Nothing tried it again, so the agent spent its time on controllers that it could not reach, and the isolated leader released the machine.

A refusal by epochs alone means that the record itself still has its expected version. The claim is now sent again after a catch-up, three times at most; a claim whose own record has changed ends at once, as before.

--- a/src/main/kotlin/mintpick/engine/membership/ClaimWriter.kt
+++ b/src/main/kotlin/mintpick/engine/membership/ClaimWriter.kt
@@ -23,13 +23,33 @@
     private val context: EngineContext,
     private val stateStore: StateStoreClient,
 ) {
+    /** Records that are claimed in one transaction. */
+    private inner class Attempt(
+        val targets: List<ClaimTarget>,
+        val reason: String,
+        val epochShards: Set<Int>,
+        val then: (isCommitted: Boolean) -> Unit,
+    ) {
+        val keys = targets.map { it.key }
+        var remainingTries = MAX_TRIES
+
+        /** Whether every record to write still had its expected version, so that only epochs have changed. */
+        fun isOnlyRefusedByEpochs(conflict: TransactionResult.Conflict): Boolean = conflict.failed.none { it in keys }
+
+        fun end(isCommitted: Boolean) {
+            inFlightKeys -= keys.toSet()
+            then(isCommitted)
+        }
+    }
+
     private val inFlightKeys = HashSet<String>()
     private var nextRefusalLogUs: Micros = 0
 
     /**
      * Claims those of the [targets] that are in no transaction in flight, up to the size limit of a transaction. The same
-     * transaction raises the epochs of the shards [epochShards]. [then] receives whether it was committed; without a lease,
-     * without a target left or while the rate limits allow no write, it receives false at once.
+     * transaction raises the epochs of the shards [epochShards]. If only an epoch has changed, the claim is tried again once the
+     * records have been read, up to [MAX_TRIES] times in all. [then] receives whether it was committed; without a lease, without a
+     * target left or while the rate limits allow no write, it receives false at once.
      */
     fun claim(
         targets: List<ClaimTarget>,
@@ -37,20 +57,28 @@
         epochShards: Set<Int> = emptySet(),
         then: (isCommitted: Boolean) -> Unit = {},
     ) {
-        val record = claimRecord() ?: return then(false)
         val maxTargets = maxOf(1, context.settings.limits.transactionOps - epochShards.size)
         val available = targets.filter { it.key !in inFlightKeys }.take(maxTargets)
-        if (available.isEmpty() || stateStore.writesAllowed() < 1) return then(false)
-        val keys = available.map { it.key }
-        inFlightKeys += keys
-        val claims = keys.map { Write(it, record, leased = true) }
-        val epochs = epochShards.map { Write(Keys.shardEpoch(it), record, isCachedOnCommit = false) }
-        stateStore.transact(available.flatMap(::guardsOf), claims + epochs) { result ->
-            inFlightKeys -= keys.toSet()
-            logResult(keys, reason, result)
-            // The records that refuted the guards are read now, so that the next attempt is based on them.
-            if (result is TransactionResult.Conflict) stateStore.afterCatchUp { }
-            then(result is TransactionResult.Committed)
+        if (available.isEmpty()) return then(false)
+        val attempt = Attempt(available, reason, epochShards, then)
+        inFlightKeys += attempt.keys
+        send(attempt)
+    }
+
+    private fun send(attempt: Attempt) {
+        val record = claimRecord()
+        if (record == null || stateStore.writesAllowed() < 1) return attempt.end(isCommitted = false)
+        attempt.remainingTries--
+        val claims = attempt.keys.map { Write(it, record, leased = true) }
+        val epochs = attempt.epochShards.map { Write(Keys.shardEpoch(it), record, isCachedOnCommit = false) }
+        stateStore.transact(attempt.targets.flatMap(::guardsOf), claims + epochs) { result ->
+            logResult(attempt, result)
+            val mayTryAgain = result is TransactionResult.Conflict && attempt.isOnlyRefusedByEpochs(result)
+            if (mayTryAgain && attempt.remainingTries > 0) {
+                stateStore.afterCatchUp { isCaughtUp -> if (isCaughtUp) send(attempt) else attempt.end(isCommitted = false) }
+            } else {
+                attempt.end(result is TransactionResult.Committed)
+            }
         }
     }
 
@@ -72,13 +100,13 @@
     }
 
     private fun logResult(
-        keys: List<String>,
-        reason: String,
+        attempt: Attempt,
         result: TransactionResult,
     ) {
+        val keys = shortened(attempt.keys)
         when (result) {
-            is TransactionResult.Committed -> LOG.info("claimed keys={} token={} reason={}", shortened(keys), result.revision, reason)
-            is TransactionResult.Conflict -> logRefusal(keys, reason, result)
+            is TransactionResult.Committed -> LOG.info("claimed keys={} token={} reason={}", keys, result.revision, attempt.reason)
+            is TransactionResult.Conflict -> logRefusal(keys, attempt.reason, result)
             else -> Unit
         }
     }
@@ -92,14 +120,7 @@
         nextRefusalLogUs = context.now + REFUSAL_LOG_INTERVAL
         val failed = shortened(conflict.failed)
         val known = context.cache.revision
-        LOG.info(
-            "claim refused keys={} reason={} failed={} revision={} known={}",
-            shortened(keys),
-            reason,
-            failed,
-            conflict.revision,
-            known,
-        )
+        LOG.info("claim refused keys={} reason={} failed={} revision={} known={}", keys, reason, failed, conflict.revision, known)
     }
 
     private fun shortened(keys: List<String>): List<String> = keys.map { it.removePrefix(Keys.ROOT) }
@@ -112,6 +133,9 @@
     private companion object {
         val LOG = LoggerFactory.getLogger(ClaimWriter::class.java)
 
+        /** How often a claim is sent if epochs change in the meantime. */
+        const val MAX_TRIES = 3
+
         /** Minimum time between two log lines about refused claims. */
         const val REFUSAL_LOG_INTERVAL: Micros = SECOND
     }
