Take silence for an expired lease only if the agent has shown a token above all others

A controller took an agent's silence for an expired lease if the agent had once shown a token of its own or a higher one. A higher one proves the opposite: another controller may renew the lease. And a borrowed machine was requeued under the guard of its borrow claim alone, although the owner of its shard can obtain a higher token without touching that record: not any more in the present version, but in the version in production, which runs beside it during an upgrade.

AgentIndex.hasLeaseExpired is the one place that decides it. It now asks for a token above every token of others that the agent has shown since this controller has been in control, and, for a borrowed machine, above the claim of its shard. A requeue on a borrowed machine is also guarded by that claim's version (ShardClaims.requeueGuards).

If both are of the earlier version the fault stays until one of them is upgraded.

--- a/src/main/kotlin/mintpick/engine/agents/AgentIndex.kt
+++ b/src/main/kotlin/mintpick/engine/agents/AgentIndex.kt
@@ -30,7 +30,10 @@
     private class ControlPeriod(
         val sinceUs: Micros,
         val firstToken: Long,
-    )
+    ) {
+        /** Highest token of another controller that the agent has shown since [sinceUs]; 0 if there was none. */
+        var highestOtherToken = 0L
+    }
 
     /** The iteration order of this map determines the order in which machines are listed and included in peer hints. */
     private val viewsByMachine = HashMap<MachineId, MachineView>()
@@ -87,10 +90,24 @@
         report: MachineReport,
     ) {
         updatedMachines += view.id
+        recordOtherToken(view)
         val cacheGb = cache.machineTypes[report.type]?.cacheGb ?: 0.0
         for ((attempt, task) in view.reportedAttempts) recordTask(view, attempt, task, cacheGb)
     }
 
+    /**
+     * Records a token above that of this controller's claim. Another controller has obtained it, so from now on the agent may obey
+     * and renew its lease with that controller.
+     */
+    private fun recordOtherToken(view: MachineView) {
+        val period = controlPeriods[view.id] ?: return
+        val claim = shardClaims.controlClaim(view.id) ?: return
+        if (!shardClaims.isOwn(claim) || view.token <= maxOf(claim.version, period.highestOtherToken)) return
+        period.highestOtherToken = view.token
+        context.metrics.recordOtherToken()
+        LOG.info("higher token machine={} token={} own={} revision={}", view.id.text, view.token, claim.version, cache.revision)
+    }
+
     private fun recordTask(
         view: MachineView,
         attempt: AttemptId,
@@ -148,11 +165,18 @@
         return cache.revision < claim.version || (viewsByMachine[machine]?.token ?: 0) < claim.version
     }
 
-    /** Whether the agent's lease has certainly expired, so that it has killed its tasks: no controller can have renewed the lease. */
+    /**
+     * Whether the agent's lease has certainly expired, so that it has killed its tasks: no controller can have renewed the lease.
+     * Silence proves that only if the agent has shown a token above all tokens of other controllers.
+     */
     fun hasLeaseExpired(view: MachineView): Boolean {
         val period = controlPeriods[view.id] ?: return false
         if (!shardClaims.controls(view.id)) return false
         if (!view.hasLeaseExpired(context.now, period.sinceUs, period.firstToken, context.settings.leaseUs)) return false
+        if (view.token <= maxOf(period.highestOtherToken, shardClaims.otherToken(view.id))) {
+            context.metrics.recordUnprovenExpiry()
+            return false
+        }
         // Another controller in the machine's zone may have answered its heartbeats on behalf of this controller.
         val peerRenewalsUntilUs = health.peerRenewalsUntil(cache.machines[view.id]?.record?.zone) ?: return false
         return MachineView.isLeaseExpired(context.now, peerRenewalsUntilUs, context.settings.leaseUs)
@@ -174,6 +198,7 @@
                 controlPeriods.remove(known.id)
             } else if (known.id !in controlPeriods) {
                 controlPeriods[known.id] = ControlPeriod(context.now, claim?.version ?: 0)
+                viewsByMachine[known.id]?.let(::recordOtherToken)
                 acquired += known.id
             }
         }
--- a/src/main/kotlin/mintpick/engine/agents/OutcomeDetector.kt
+++ b/src/main/kotlin/mintpick/engine/agents/OutcomeDetector.kt
@@ -2,6 +2,7 @@
 
 import mintpick.core.AttemptId
 import mintpick.core.Job
+import mintpick.core.MILLI
 import mintpick.core.MachineId
 import mintpick.core.MachineView
 import mintpick.core.Proof
@@ -57,10 +58,26 @@
         before: TaskOutcomes?,
     ): TaskOutcomes {
         val isKnown = before != null && before.hasEndedExactly(cache.tasksOn(machine).keys)
-        if (!isKnown) LOG.debug("lease expired machine={}", machine.text)
+        if (!isKnown) logExpiry(machine)
         return TaskOutcomes.allEnded(attemptsOn(machine), isTerminated = false)
     }
 
+    private fun logExpiry(machine: MachineId) {
+        val view = agents.view(machine) ?: return
+        val own = shardClaims.controlClaim(machine)?.version
+        val silentMs = (context.now - view.lastStatusUs) / MILLI
+        val tasks = cache.tasksOn(machine).size
+        LOG.info(
+            "lease expired machine={} epoch={} token={} own={} silent_ms={} tasks={}",
+            machine.text,
+            view.agentEpoch,
+            view.token,
+            own,
+            silentMs,
+            tasks,
+        )
+    }
+
     /** Examines the attempts on one machine; [token] is the fencing token that its agent has to return for a proof. */
     private inner class Examination(
         private val view: MachineView,
--- a/src/main/kotlin/mintpick/engine/agents/PendingJobWrites.kt
+++ b/src/main/kotlin/mintpick/engine/agents/PendingJobWrites.kt
@@ -101,7 +101,7 @@
     /**
      * Requeues the attempts that have ended on [machine]. Unless the machine is terminated, its next controller could have
      * renewed the agent's lease or started a missing attempt again. Each requeue is therefore guarded by control of the
-     * machine, and left out if the guard does not fit into the transaction.
+     * machine and by the absence of other tokens for it, and left out if the guard does not fit into the transaction.
      */
     private fun requeueEnded(
         draft: JobUpdate,
@@ -109,7 +109,7 @@
         outcomes: TaskOutcomes,
     ) {
         for ((task, attempt) in outcomes.endedOf(draft.before.id)) {
-            val mayRequeue = outcomes.isTerminated || draft.addMachineGuards(shardClaims.guards(machine))
+            val mayRequeue = outcomes.isTerminated || draft.addMachineGuards(shardClaims.requeueGuards(machine))
             if (mayRequeue) draft.requeue(task.index, Placement(machine, attempt))
         }
     }
--- a/src/main/kotlin/mintpick/engine/membership/ShardClaims.kt
+++ b/src/main/kotlin/mintpick/engine/membership/ShardClaims.kt
@@ -83,6 +83,15 @@
     /** The guards under which this controller may commit a placement on [machine]; empty if the zone of the machine is unknown. */
     fun guards(machine: MachineId): List<Guard> = directory.guards(machine)
 
+    /**
+     * The highest token that another controller may hold for [machine] besides the claim that controls it: that of the shard's
+     * claim if the machine is borrowed, otherwise 0. An earlier version claims a shard without having read its borrowings.
+     */
+    fun otherToken(machine: MachineId): Long = directory.otherToken(machine)
+
+    /** The guards under which an attempt on [machine] may be requeued: [guards], and the version that [otherToken] is based on. */
+    fun requeueGuards(machine: MachineId): List<Guard> = directory.requeueGuards(machine)
+
     /** Claims the shards and the leadership that this controller should own. Must be called in each step. */
     fun tick() {
         if (!stateStore.isServing || context.now < nextTickUs) return
--- a/src/main/kotlin/mintpick/engine/membership/ShardDirectory.kt
+++ b/src/main/kotlin/mintpick/engine/membership/ShardDirectory.kt
@@ -80,6 +80,19 @@
     /** Whether [node] has a valid lease. */
     fun isLive(node: NodeId): Boolean = node == context.self || node in cache.nodes
 
+    /** See [ShardClaims.otherToken]. */
+    fun otherToken(machine: MachineId): Long {
+        if (machine !in cache.borrows) return 0
+        return shard(machine)?.let { cache.claims[it]?.version } ?: 0
+    }
+
+    /** See [ShardClaims.requeueGuards]. */
+    fun requeueGuards(machine: MachineId): List<Guard> {
+        val shard = shard(machine)
+        if (machine !in cache.borrows || shard == null) return guards(machine)
+        return guards(machine) + Guard(Keys.shard(shard), cache.claims[shard]?.version ?: 0)
+    }
+
     /** See [ShardClaims.guards]. */
     fun guards(machine: MachineId): List<Guard> {
         val borrow = cache.borrows[machine]
--- a/src/main/kotlin/mintpick/engine/runtime/EngineMetrics.kt
+++ b/src/main/kotlin/mintpick/engine/runtime/EngineMetrics.kt
@@ -69,6 +69,8 @@
     private val reads = EnumMap<ReadKind, Reads>(ReadKind::class.java)
     private val heartbeats = EnumMap<HeartbeatOutcome, Long>(HeartbeatOutcome::class.java)
     private val withheldStarts = EnumMap<WithheldStart, Long>(WithheldStart::class.java)
+    private var otherTokens = 0L
+    private var unprovenExpiries = 0L
 
     /** Records the end of a read that took [durationUs]. */
     fun recordRead(
@@ -91,13 +93,26 @@
         withheldStarts.merge(reason, 1, Long::plus)
     }
 
+    /** Records that an agent has shown a token above that of this controller's claim. */
+    fun recordOtherToken() {
+        otherTokens++
+    }
+
+    /** Records that a lease was not taken for expired after its time, because another controller may have renewed it. */
+    fun recordUnprovenExpiry() {
+        unprovenExpiries++
+    }
+
     /** Returns a line for the log with the values since the last call, and resets them. */
     fun takeReport(): String {
         val readTexts = reads.map { (kind, it) -> "${kind.label()}=${it.served}/${it.failed} longest_ms=${it.longestUs / MILLI}" }
-        val report = "reads ${readTexts.joinToString(" ")} heartbeats ${textOf(heartbeats)} withheld_starts ${textOf(withheldStarts)}"
+        val answers = "heartbeats ${textOf(heartbeats)} withheld_starts ${textOf(withheldStarts)}"
+        val report = "reads ${readTexts.joinToString(" ")} $answers other_tokens=$otherTokens unproven_expiries=$unprovenExpiries"
         reads.clear()
         heartbeats.clear()
         withheldStarts.clear()
+        otherTokens = 0
+        unprovenExpiries = 0
         return report
     }
 
