--- a/src/test/kotlin/mintpick/testing/StateStoreFaults.kt
+++ b/src/test/kotlin/mintpick/testing/StateStoreFaults.kt
@@ -19,8 +19,26 @@
         var status: Int? = null,
     )
 
+    /** Observes transactions on their way, and may hold them up or take away their answers. */
+    interface Observer {
+        /** [transaction] of [from] is about to be executed; returns after how long it is, without an answer, or null for now. */
+        fun delayOf(
+            from: SimulatedCluster.Node,
+            transaction: Transaction,
+        ): Micros?
+
+        /** [transaction] of [from] has been committed; returns whether [from] gets the answer. */
+        fun isAnswered(
+            from: SimulatedCluster.Node,
+            transaction: Transaction,
+        ): Boolean
+    }
+
     private val random = SplittableRandom(4711)
 
+    /** Observer of all transactions that are not lost otherwise; null: none. */
+    var observer: Observer? = null
+
     /** Rate of transactions that get no answer. They are executed after [applyDelayUs], or immediately if [appliesImmediately]. */
     var lossRate = 0
     var appliesImmediately = false
@@ -58,6 +76,8 @@
             return if (isWatch) cluster.after(WATCH_RETRY) { intercept(from, call, reply, execute) } else reply(REFUSED, ByteArray(0))
         }
         if (call.path == "/multi" && loseIfDrawn(from, call, execute)) return
+        val observer = observer
+        if (call.path == "/multi" && observer != null) return observe(observer, from, call, reply, execute)
         if (!occurs(slowRate)) return execute { status, body -> replyUnlessRefused(from, isWatch, call, execute, status, body, reply) }
         slowAnswers++
         val delay = MIN_SLOW + random.nextLong(MAX_SLOW - MIN_SLOW)
@@ -65,6 +85,25 @@
         if (random.nextBoolean()) cluster.after(delay) { execute(reply) } else execute { s, b -> cluster.after(delay) { reply(s, b) } }
     }
 
+    private fun observe(
+        observer: Observer,
+        from: SimulatedCluster.Node,
+        call: Call,
+        reply: (Int, ByteArray) -> Unit,
+        execute: ((Int, ByteArray) -> Unit) -> Unit,
+    ) {
+        val transaction = transactionIn(call)
+        val delay = observer.delayOf(from, transaction)
+        if (delay != null) return cluster.after(delay) { execute { _, _ -> } }
+        execute { status, body ->
+            val isAnswered = status != OK || observer.isAnswered(from, transaction)
+            if (isAnswered) reply(status, body)
+        }
+    }
+
+    private fun transactionIn(call: Call): Transaction =
+        WireJson.decodeFromString(Transaction.serializer(), requireNotNull(call.body).decodeToString())
+
     /** Answers the request. A watch whose controller is now refused is repeated until it no longer is. */
     private fun replyUnlessRefused(
         from: SimulatedCluster.Node,
@@ -82,7 +121,7 @@
         execute: ((Int, ByteArray) -> Unit) -> Unit,
     ): Boolean {
         if (lossRate == 0) return false
-        val transaction = WireJson.decodeFromString(Transaction.serializer(), requireNotNull(call.body).decodeToString())
+        val transaction = transactionIn(call)
         if (!mayLose(from, transaction) || !occurs(lossRate)) return false
         val lost = LostTransaction(from.name, transaction).also { lostTransactions += it }
         val applyTransaction = {
