--- a/src/test/kotlin/mintpick/testing/FaultPoint.kt
+++ b/src/test/kotlin/mintpick/testing/FaultPoint.kt
@@ -26,6 +26,9 @@
     ACTOR_PAUSED({ actor, _ -> actor.pauseProcess(FAULT_SPAN) }),
     ACTOR_RESTARTED({ actor, _ -> actor.crash(RESTART_TIME) }),
     OTHER_RESTARTED({ _, other -> other.crash(RESTART_TIME) }),
+
+    /** Controllers that have not read the latest commit have to load all records again. */
+    RECORDS_LOADED_AGAIN({ _, _ -> state.oldestWatchableRevision = state.revision }),
 }
 
 private fun SimulatedCluster.delayReads(isLate: (SimulatedCluster.Node) -> Boolean) {
