--- a/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
+++ b/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
@@ -10,7 +10,6 @@
 import mintpick.engine.runtime.Effect
 import mintpick.engine.runtime.Event
 import mintpick.engine.runtime.ReplyTo
-import mintpick.net.Answer
 import mintpick.net.Call
 import mintpick.net.Outcome
 import mintpick.net.Target
@@ -18,11 +17,9 @@
 import mintpick.wire.CommandBatch
 import mintpick.wire.JobSpec
 import mintpick.wire.MachineReport
-import mintpick.wire.Misdirected
 import mintpick.wire.PeerHint
 import mintpick.wire.PeerProtobuf
 import mintpick.wire.RentalRequest
-import mintpick.wire.ReportAnswer
 import mintpick.wire.WireJson
 import java.util.PriorityQueue
 import java.util.SplittableRandom
@@ -201,6 +198,7 @@
         )
     val messageDelays = MessageDelays(this)
     private val users = SimulatedUsers(this)
+    private val heartbeats = AgentHeartbeats(this, faultRates)
 
     /** Schedules [run] at [delay] from now. */
     fun after(
@@ -238,7 +236,7 @@
         after(SERVICE_TICK) { serviceLoop() }
     }
 
-    private fun occurs(thousandths: Int): Boolean = thousandths > 0 && random.nextInt(1000) < thousandths
+    internal fun occurs(thousandths: Int): Boolean = thousandths > 0 && random.nextInt(1000) < thousandths
 
     internal fun networkDelay(): Micros = MILLI + random.nextLong(4 * MILLI)
 
@@ -356,7 +354,7 @@
         val address = "10.1.${number / 250}.${number % 250}:9000"
         val agent = SimulatedAgent(id, address, request.type, request.zone, request.spot, nodes[0].settings.leaseUs, this, now)
         agents[id] = agent
-        heartbeatLoop(agent, random.nextInt(nodes.size), 0)
+        heartbeats.heartbeatLoop(agent, random.nextInt(nodes.size), 0)
     }
 
     /** Removes a machine together with all its tasks. */
@@ -365,78 +363,6 @@
         agents.remove(id)?.kill(now)
     }
 
-    private fun heartbeatLoop(
-        agent: SimulatedAgent,
-        target: Int,
-        sinceLastUs: Micros,
-    ) {
-        if (agents[agent.id] !== agent) return
-        val isDue = sinceLastUs >= 3 * SECOND || (agent.changed && sinceLastUs >= SECOND / 2)
-        if (!isDue || now < agent.hangingUntilUs) return after(SERVICE_TICK) { heartbeatLoop(agent, target, sinceLastUs + SERVICE_TICK) }
-        sendHeartbeat(agent, target)
-    }
-
-    private fun sendHeartbeat(
-        agent: SimulatedAgent,
-        target: Int,
-    ) {
-        val node = nodes[target]
-        val message = agent.heartbeat(now)
-        val sent = now
-        messageDelays.heartbeatSent(message)
-        if (occurs(faultRates.duplicated)) {
-            after(2 * SECOND + random.nextLong(58 * SECOND)) { deliverDuplicate(message, nodes[random.nextInt(nodes.size)]) }
-        }
-        var pending = true
-        val next: (Int, Micros) -> Unit = { to, pause ->
-            if (pending) {
-                pending = false
-                after(pause) { heartbeatLoop(agent, to, 3 * SECOND) }
-            }
-        }
-        after(4 * SECOND) { next((target + 1) % nodes.size, SECOND) }
-        if (agent.heartbeatsLost ||
-            node.cutFromAgents ||
-            ((zonesPartitioned || isolatedZone != null) && node.settings.zone != agent.zone) ||
-            occurs(faultRates.lost)
-        ) {
-            return
-        }
-        val travel = if (occurs(faultRates.late)) 5 * SECOND + random.nextLong(10 * SECOND) else networkDelay()
-        after(travel) {
-            val delivered =
-                node.deliver(
-                    Event.Report(
-                        message,
-                        ReplyTo { answer ->
-                            if (agent.inboundLost) {
-                                recordMissedStarts(agent, answer)
-                            } else if (!occurs(faultRates.lostAnswer)) {
-                                after(networkDelay()) {
-                                    if (pending && agents[agent.id] === agent && now >= agent.hangingUntilUs) {
-                                        pending = false
-                                        handleHeartbeatAnswer(agent, target, message.agentEpoch, sent, answer)
-                                    }
-                                }
-                            }
-                        },
-                    ),
-                )
-            if (!delivered) next((target + 1) % nodes.size, SECOND)
-        }
-    }
-
-    private fun recordMissedStarts(
-        agent: SimulatedAgent,
-        answer: Answer,
-    ) {
-        if (answer.status ==
-            200
-        ) {
-            agent.recordMissedStarts(WireJson.decodeFromString(ReportAnswer.serializer(), answer.body.decodeToString()).commands, now)
-        }
-    }
-
     /** Delivers a copy of an old heartbeat to [node]; the answer is discarded. */
     fun deliverDuplicate(
         message: MachineReport,
@@ -445,33 +371,6 @@
         node.deliver(Event.Report(message, ReplyTo { }))
     }
 
-    private fun handleHeartbeatAnswer(
-        agent: SimulatedAgent,
-        target: Int,
-        agentEpoch: Long,
-        sentUs: Micros,
-        answer: Answer,
-    ) {
-        when (answer.status) {
-            200 -> {
-                val body = WireJson.decodeFromString(ReportAnswer.serializer(), answer.body.decodeToString())
-                agent.tick(now)
-                agent.handleHeartbeatAnswer(agentEpoch, sentUs, body.token, body.commands, now)
-                after(SERVICE_TICK) { heartbeatLoop(agent, target, SERVICE_TICK) }
-            }
-            421 -> {
-                val to = WireJson.decodeFromString(Misdirected.serializer(), answer.body.decodeToString()).controller
-                val index = nodes.indexOfFirst { it.settings.node == to }
-                if (index < 0 || index == target) {
-                    after(SECOND) { heartbeatLoop(agent, (target + 1) % nodes.size, 3 * SECOND) }
-                } else {
-                    after(random.nextLong(SECOND / 2)) { heartbeatLoop(agent, index, 3 * SECOND) }
-                }
-            }
-            else -> after(SECOND) { heartbeatLoop(agent, (target + 1) % nodes.size, 3 * SECOND) }
-        }
-    }
-
     /** Adds a user who submits [spec] until it is accepted, then polls it, and cancels it after [cancelAfterUs] if not null. */
     fun addUser(
         spec: JobSpec,
@@ -516,7 +415,7 @@
 
     companion object {
         private const val STEP: Micros = 20 * MILLI
-        private const val SERVICE_TICK: Micros = 100 * MILLI
+        internal const val SERVICE_TICK: Micros = 100 * MILLI
         private const val WALL_CLOCK_OFFSET: Micros = 1_700_000_000 * SECOND
     }
 }
