--- a/src/test/kotlin/mintpick/simulation/FaultPointsTest.kt
+++ b/src/test/kotlin/mintpick/simulation/FaultPointsTest.kt
@@ -1,7 +1,9 @@
 package mintpick.simulation
 
+import mintpick.testing.CommitKind
 import mintpick.testing.FaultPoint
 import mintpick.testing.FaultPointResult
+import mintpick.testing.FollowUp
 import mintpick.testing.playFaultPoint
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -20,10 +22,15 @@
         return when {
             number != null -> listOf(FaultPoint.ALL[number])
             System.getProperty("mintpick.pairs") == "all" -> FaultPoint.ALL
-            else -> FaultPoint.ALL.filter { it.number % SAMPLE_STEP == 0 }
+            else -> FaultPoint.ALL.filter { it.number % SAMPLE_STEP == 0 || it.isStaleClaim() }
         }
     }
 
+    /** Whether controllers act on old records around a commit that changes who holds a token. */
+    private fun FaultPoint.isStaleClaim(): Boolean =
+        kind in setOf(CommitKind.TOKEN_RAISE, CommitKind.BORROWING, CommitKind.LEADERSHIP) &&
+            followUp in setOf(FollowUp.OTHERS_READ_LATE, FollowUp.OTHERS_READ_LATE_THEN_STORE_OUT)
+
     private fun play(
         points: List<FaultPoint>,
         controllers: Int,
--- a/src/test/kotlin/mintpick/testing/FaultPoint.kt
+++ b/src/test/kotlin/mintpick/testing/FaultPoint.kt
@@ -29,6 +29,12 @@
 
     /** Controllers that have not read the latest commit have to load all records again. */
     RECORDS_LOADED_AGAIN({ _, _ -> state.oldestWatchableRevision = state.revision }),
+
+    /** Other controllers act for a moment without having read the latest commits, and then nobody can read or write. */
+    OTHERS_READ_LATE_THEN_STORE_OUT({ actor, _ ->
+        delayReads { it !== actor }
+        after(READ_LATE_SPAN) { state.unavailable = true }
+    }),
 }
 
 private fun SimulatedCluster.delayReads(isLate: (SimulatedCluster.Node) -> Boolean) {
@@ -119,7 +125,7 @@
         isMet = true
         val other = cluster.nodes[(actor.index + 1) % cluster.nodes.size]
         point.followUp.begin(cluster, actor, other)
-        cluster.after(FAULT_SPAN) { cluster.endFaults() }
+        cluster.after(FAULT_SPAN + READ_LATE_SPAN) { cluster.endFaults() }
     }
 }
 
@@ -201,5 +207,6 @@
 private const val FAULT_SPAN = 22 * SECOND
 private const val RESTART_TIME = SECOND / 3
 private const val READ_DELAY = 5 * SECOND
+private const val READ_LATE_SPAN = 3 * SECOND / 2
 private const val APPLY_DELAY = 4 * SECOND
 private const val DAY_END = 165 * SECOND
