--- a/review/standins/Node.java
+++ b/review/standins/Node.java
@@ -17,6 +17,8 @@
     final int meshPort;
     StateService.Link link;
     Path settings;
+    /** Set when the run ends: from then on no process is started. */
+    private static volatile boolean ended;
     private final Record record;
     private final File log;
     private Process process;
@@ -37,7 +39,7 @@
     }
 
     synchronized void start() throws IOException {
-        if (isAlive()) return;
+        if (ended || isAlive()) return;
         List<String> command = command();
         command.add(settings.toString());
         ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true);
@@ -48,6 +50,11 @@
         record.line("controller " + name + " started, process " + process.pid());
     }
 
+    /** Lets no process start any more; those that run are to be killed after it. */
+    static void endStarts() {
+        ended = true;
+    }
+
     synchronized void kill() {
         if (process == null) return;
         process.destroyForcibly();
--- a/review/standins/Site.java
+++ b/review/standins/Site.java
@@ -83,6 +83,7 @@
     }
 
     private synchronized void endAll() {
+        Node.endStarts();
         nodes.forEach(Node::kill);
         if (System.getenv("KEEP_LOGS") != null) return;
         try (Stream<Path> files = Files.walk(folder)) {
