Keep chunks that arrive before their job is known, so that a load loses no tasks

Cause: a load reads the records in the order of their keys: main record (mp/j/), chunks (mp/k/), pieces of a separately stored specification (mp/p/). Until all pieces are known the job is incomplete, and LocalCache.apply discarded a chunk of an unknown job without keeping its version. It expected the chunk again from the watch, but the watch starts at the revision of the first page and repeats only later changes. The job then appeared without its chunks, its tasks counted as not placed, and every placement was guarded by version 0 of a chunk that exists.

Fix: EarlyChunks keeps chunks of a job that is not known completely, with their versions, and LocalCache applies them as soon as it is; they are dropped once the job is final. The order of arrival does not matter any more, so WatchReader need not sort events. After a load, chunks or jobs that still wait are logged as `records incomplete`.

--- a/src/main/kotlin/mintpick/engine/cache/JobCache.kt
+++ b/src/main/kotlin/mintpick/engine/cache/JobCache.kt
@@ -37,6 +37,9 @@
     /** Dependencies between jobs, with the readiness that follows from the records of predecessors. */
     val dependencies = DependencyGraph()
 
+    /** Number of open jobs whose separately stored specifications are not known completely. */
+    val incompleteCount: Int get() = incompleteJobs.size
+
     /** Jobs that are not in a final stage. */
     val jobs: Collection<Job> get() = jobsById.values
 
@@ -119,7 +122,7 @@
         applyOpen(id, incomplete.record, incomplete.version)
     }
 
-    /** Applies a write of chunk [index] of [id]. Deletions and chunks of unknown jobs are ignored. */
+    /** Applies a write of chunk [index] of the known job [id]. Deletions are ignored, since the job becomes final with them. */
     fun applyChunk(
         id: JobId,
         index: Int,
--- a/src/main/kotlin/mintpick/engine/cache/LocalCache.kt
+++ b/src/main/kotlin/mintpick/engine/cache/LocalCache.kt
@@ -32,11 +32,18 @@
     private val machineCache = MachineCache(changedMachines)
     private val claimCache = ClaimCache()
     private val controllerCache = ControllerCache()
+    private val earlyChunks = EarlyChunks()
 
     /** All changes up to this revision of the state store are in the cache. */
     var revision: Long = 0
         private set
 
+    /** Number of chunks that wait for their job's main record, or for the specification that it refers to. */
+    val earlyChunkCount: Int get() = earlyChunks.size
+
+    /** Number of open jobs whose separately stored specifications are not known completely. */
+    val incompleteJobCount: Int get() = jobCache.incompleteCount
+
     /** Jobs that are not in a final stage. */
     val jobs: Collection<Job> get() = jobCache.jobs
 
@@ -156,17 +163,42 @@
     ): Boolean {
         if (versions.getLong(key) >= version) return false
         val subject = Keys.parse(key)
-        // Pages of a load have different revisions. A chunk that is read before its job is received again from the watch.
-        if (subject is Keys.Subject.Chunk && value != null && job(JobId(subject.id)) == null) return false
+        // The chunks of a final job are never read again.
+        if (subject is Keys.Subject.Chunk && value != null && finalJob(JobId(subject.id)) != null) return false
         // The version of a deleted key is kept: a delayed copy of an earlier write must not restore the record.
         versions.put(key, version)
         if (subject == null) return true
+        dispatchReadable(key, subject, value, version)
+        when (subject) {
+            is Keys.Subject.Job -> applyEarlyChunks(JobId(subject.id))
+            is Keys.Subject.Spec -> applyEarlyChunks(JobId(subject.id))
+            else -> Unit
+        }
+        return true
+    }
+
+    /** Applies the chunks that were received before the job [id] was known, unless it still is not; discards them if it is final. */
+    private fun applyEarlyChunks(id: JobId) {
+        val isFinal = finalJob(id) != null
+        if (!isFinal && job(id) == null) return
+        for (chunk in earlyChunks.remove(id)) {
+            if (isFinal) continue
+            val subject = Keys.Subject.Chunk(id.text, chunk.index)
+            dispatchReadable(Keys.chunk(id.text, chunk.index), subject, chunk.value, chunk.version)
+        }
+    }
+
+    private fun dispatchReadable(
+        key: String,
+        subject: Keys.Subject,
+        value: JsonElement?,
+        version: Long,
+    ) {
         try {
             dispatch(subject, value, version)
         } catch (e: IllegalArgumentException) {
             LOG.error("record key={} unreadable reason={}", key, e.message)
         }
-        return true
     }
 
     private fun dispatch(
@@ -176,7 +208,7 @@
     ) {
         when (subject) {
             is Keys.Subject.Job -> jobCache.applyJob(JobId(subject.id), value, version)
-            is Keys.Subject.Chunk -> jobCache.applyChunk(JobId(subject.id), subject.index, value, version)
+            is Keys.Subject.Chunk -> applyChunk(subject, value, version)
             is Keys.Subject.Spec -> jobCache.applySpec(JobId(subject.id), subject.piece, value)
             is Keys.Subject.Shard -> claimCache.applyShard(subject.index, value, version)
             is Keys.Subject.Borrow -> claimCache.applyBorrow(MachineId(subject.machine), value, version)
@@ -192,6 +224,20 @@
         }
     }
 
+    /** Applies a chunk; one whose job is not known completely yet is kept until it is. */
+    private fun applyChunk(
+        chunk: Keys.Subject.Chunk,
+        value: JsonElement?,
+        version: Long,
+    ) {
+        val id = JobId(chunk.id)
+        when {
+            job(id) != null -> jobCache.applyChunk(id, chunk.index, value, version)
+            value != null -> earlyChunks.put(id, EarlyChunk(chunk.index, value, version))
+            else -> earlyChunks.remove(id, chunk.index)
+        }
+    }
+
     private companion object {
         val LOG = LoggerFactory.getLogger(LocalCache::class.java)
     }
--- a/src/main/kotlin/mintpick/engine/state/SnapshotLoader.kt
+++ b/src/main/kotlin/mintpick/engine/state/SnapshotLoader.kt
@@ -83,7 +83,11 @@
     private fun finish() {
         session.onLoaded()
         val tookMs = (context.now - (progress.startedUs ?: context.now)) / MILLI
-        LOG.info("loaded revision={} jobs={} pages={} took_ms={}", context.cache.revision, context.cache.jobs.size, progress.pages, tookMs)
+        val cache = context.cache
+        LOG.info("loaded revision={} jobs={} pages={} took_ms={}", cache.revision, cache.jobs.size, progress.pages, tookMs)
+        if (cache.earlyChunkCount + cache.incompleteJobCount > 0) {
+            LOG.warn("records incomplete chunks_without_job={} jobs_without_spec={}", cache.earlyChunkCount, cache.incompleteJobCount)
+        }
     }
 
     private companion object {
--- a/src/main/kotlin/mintpick/engine/state/WatchReader.kt
+++ b/src/main/kotlin/mintpick/engine/state/WatchReader.kt
@@ -4,7 +4,6 @@
 import mintpick.core.Micros
 import mintpick.core.SECOND
 import mintpick.engine.runtime.ReadKind
-import mintpick.store.Keys
 import mintpick.store.StateResult
 import mintpick.wire.EventPage
 import org.slf4j.LoggerFactory
@@ -59,8 +58,7 @@
     fun apply(result: StateResult<EventPage>): Boolean {
         if (result is StateResult.Gone) resetCache()
         if (result !is StateResult.Ok) return false
-        // Events may arrive in any order, but a job has to be applied before its chunks.
-        for (event in result.value.events.sortedBy { Keys.isChunk((it.put ?: it.delete).orEmpty()) }) {
+        for (event in result.value.events) {
             val key = event.put ?: event.delete ?: continue
             val value = if (event.put != null) event.value else null
             context.cache.apply(key, value, event.version)
--- a/src/main/kotlin/mintpick/store/Keys.kt
+++ b/src/main/kotlin/mintpick/store/Keys.kt
@@ -32,9 +32,6 @@
         index: Int,
     ) = if (index == 0) job(id) else "$CHUNK$id/$index"
 
-    /** Whether [key] names a chunk other than a job's first one. */
-    fun isChunk(key: String): Boolean = key.startsWith(CHUNK)
-
     /** Claim of a shard of the machines: a `ClaimRecord`, attached to the lease of the controller that owns the shard. */
     fun shard(index: Int) = SHARD + index
 
--- a/src/test/kotlin/mintpick/simulation/DependentJobsTest.kt
+++ b/src/test/kotlin/mintpick/simulation/DependentJobsTest.kt
@@ -107,6 +107,34 @@
         assertTrue(cluster.state.keys().none { Keys.parse(it.first) is Keys.Subject.Spec }, "specs that no job needs are still stored")
     }
 
+    /**
+     * Guards against a load that loses all chunks but the first of a job with a separately stored specification: its running tasks were
+     * stopped, and each later placement was refused.
+     */
+    @Test
+    fun `tasks in all chunks of a job with a separate specification run on when all controllers restart`() {
+        val cluster = cluster(415)
+        (1..200).forEach { n -> cluster.after(n * SECOND / 12) { cluster.addUser(spec(n, estimateS = 1.0), null) } }
+        val array = spec(400, *(1..200).toList().toIntArray(), tasks = 300, estimateS = 60.0).copy(cpus = 0.25, memoryGb = 0.25)
+        cluster.addUser(array, null)
+        cluster.runUntilAllRun(array)
+        assertTrue(cluster.state.keys().any { Keys.parse(it.first) is Keys.Subject.Spec }, "the specification is stored separately")
+        cluster.nodes.forEach { it.crash(SECOND / 2) }
+        cluster.run(cluster.now + 100 * SECOND)
+        val tasks = (0 until array.tasks).map { "${array.id}/$it" }
+        assertEquals(emptyList<String>(), tasks.filter { cluster.rules.startsOf[it] != 1 }, "tasks not started exactly once")
+        assertEquals(JobStage.DONE, cluster.rules.stageOf(array.id))
+        cluster.assertRulesHeld()
+        cluster.assertWithinLimits()
+    }
+
+    private fun SimulatedCluster.runUntilAllRun(job: JobSpec) {
+        val tasks = (0 until job.tasks).map { "${job.id}/$it" }
+        val deadlineUs = 120 * SECOND
+        while (now < deadlineUs && !rules.running.keys.containsAll(tasks)) run(now + SECOND)
+        assertTrue(rules.running.keys.containsAll(tasks), "all tasks run")
+    }
+
     private fun SimulatedCluster.request(
         node: Int,
         event: (ReplyTo) -> Event,
