Forget an incomplete main record once its job is final

Callers could see a job that was called done become open again. A piece that arrives after that completed the old record, and the job was open and final at the same time.

Fix: JobCache.remove, which every final record and deletion passes, removes the incomplete record too.

Test: RecordOrderTest, now with histories that end.

--- a/src/main/kotlin/mintpick/engine/cache/JobCache.kt
+++ b/src/main/kotlin/mintpick/engine/cache/JobCache.kt
@@ -76,6 +76,7 @@
     }
 
     private fun remove(id: JobId) {
+        incompleteJobs.remove(id)
         replace(id, null)
         dependencies.remove(id)
     }
--- a/src/test/kotlin/mintpick/engine/cache/RecordOrderTest.kt
+++ b/src/test/kotlin/mintpick/engine/cache/RecordOrderTest.kt
@@ -156,13 +156,16 @@
         return repeated.sortedBy { random.split().nextInt() }
     }
 
-    /** Guards against tasks that are forgotten because their chunk was read before the job that it belongs to was known. */
+    /**
+     * Guards against tasks that are forgotten because their chunk was read before the job that it belongs to was known, and against a
+     * final job that a late piece of its specification opens again.
+     */
     @Test
     fun `records of a job that arrive in any order lead to the same cache`(): Unit =
         runBlocking {
             checkAll(config, Arb.long(), Arb.int(1..1_000), Arb.int(0..12)) { seed, tasks, steps ->
                 val random = SplittableRandom(seed)
-                val changes = History(id, machines, random, tasks).play(steps, ends = false)
+                val changes = History(id, machines, random, tasks).play(steps, ends = random.nextInt(3) == 0)
                 val expected = viewOf(cacheOf(changes))
                 assertEquals(expected, viewOf(cacheOf(load(changes))), "loaded")
                 repeat(4) { assertEquals(expected, viewOf(cacheOf(shuffled(changes, random))), "received in a drawn order") }
@@ -174,13 +177,13 @@
 
     /** Guards against records that wait for a job for ever and fill the memory. */
     @Test
-    fun `nothing waits for a job that is known`(): Unit =
+    fun `nothing waits for a job that is known or final`(): Unit =
         runBlocking {
             checkAll(config, Arb.long(), Arb.int(257..1_000)) { seed, tasks ->
                 val random = SplittableRandom(seed)
-                val changes = History(id, machines, random, tasks).play(6, ends = false)
+                val changes = History(id, machines, random, tasks).play(6, ends = random.nextBoolean())
                 val cache = cacheOf(shuffled(changes, random))
-                assertEquals(0, cache.earlyChunkCount)
+                assertEquals(0, cache.earlyChunkCount + cache.incompleteJobCount)
                 assertTrue(cache.isKnown(id))
             }
         }
