Write the final record of every open job whose stored tasks are all done

Cause: the final record is written by the update that completes the last task as its controller's cache shows the job. Updates of chunks beyond the first are guarded by the main record and by the chunks that they change, and change neither the main record nor other chunks. So two controllers can each record the last task of another chunk without having seen the other's update; both commit, and neither writes the final record. Nothing looked for such a job later. Slow answers only widen the window.

A done task never becomes undone, so the guard of the main record suffices and makes it happen once. On the ordinary path the last update still writes the final record itself, and no write is added.

--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -22,6 +22,7 @@
 import mintpick.engine.capacity.ScaleOut
 import mintpick.engine.capacity.TerminationNoticeHandler
 import mintpick.engine.capacity.UnresponsiveMachines
+import mintpick.engine.jobs.FinalRecordPolicy
 import mintpick.engine.jobs.JobAnswers
 import mintpick.engine.jobs.JobUpdateWriter
 import mintpick.engine.jobs.JobUrgency
@@ -112,7 +113,9 @@
             BorrowedMachines(context, stateStore, shardClaims, scheduler),
         )
     private val sweeper = RecordSweeper(context, stateStore, shardClaims, pendingRequests)
-    private val updateCycle = JobUpdateCycle(context, stateStore, shardClaims, reconciler, scheduler, pendingRequests, jobUpdateWriter)
+    private val finalRecordPolicy = FinalRecordPolicy(context, shardClaims)
+    private val updateCycle =
+        JobUpdateCycle(context, stateStore, reconciler, scheduler, pendingRequests, jobUpdateWriter, finalRecordPolicy)
     private val machineHintCollector = MachineHintCollector(context, shardClaims, agents, reconciler, commandPlanner)
     private val hintExchange = PeerHintExchange(context, stateStore, health, reconciler, machineHintCollector)
     private val leadershipLog = LeadershipLog(context)
--- a/src/main/kotlin/mintpick/engine/JobUpdateCycle.kt
+++ b/src/main/kotlin/mintpick/engine/JobUpdateCycle.kt
@@ -4,9 +4,9 @@
 import mintpick.core.MILLI
 import mintpick.core.Micros
 import mintpick.engine.agents.Reconciler
+import mintpick.engine.jobs.FinalRecordPolicy
 import mintpick.engine.jobs.JobUpdateWriter
 import mintpick.engine.jobs.PendingRequests
-import mintpick.engine.membership.ShardClaims
 import mintpick.engine.runtime.EngineContext
 import mintpick.engine.scheduling.Scheduler
 import mintpick.engine.state.StateStoreClient
@@ -14,17 +14,17 @@
 import mintpick.wire.StoredStage
 
 /**
- * Batches changes of jobs into few transactions: cancellations, outcomes of tasks, placements and the final records of cancelled
- * jobs. Event-loop thread only.
+ * Batches changes of jobs into few transactions: cancellations, outcomes of tasks, placements and the final records of jobs
+ * that have ended. Event-loop thread only.
  */
 internal class JobUpdateCycle(
     private val context: EngineContext,
     private val stateStore: StateStoreClient,
-    private val shardClaims: ShardClaims,
     private val reconciler: Reconciler,
     private val scheduler: Scheduler,
     private val pendingRequests: PendingRequests,
     private val jobUpdateWriter: JobUpdateWriter,
+    private val finalRecordPolicy: FinalRecordPolicy,
 ) {
     private var nextCycleUs: Micros = 0
 
@@ -56,14 +56,15 @@
     }
 
     /**
-     * Writes final records of cancelled jobs that have no task left, whose records would otherwise stay open forever. Uses only
+     * Writes final records of jobs that have ended, whose records would otherwise stay open forever. Those of cancelled jobs use only
      * writes that nothing else needs, because the cancellations themselves are already known.
      */
     private fun draftFinalRecords(draftOf: (JobId) -> JobUpdate?) {
+        finalRecordPolicy.doneJobs().forEach { draftOf(it)?.writeFinalRecord() }
         val writes = jobUpdateWriter.writeBudget() - RESERVED_WRITES
         if (writes <= 0) return
-        val own = context.cache.finalizableJobs().filter { shardClaims.preferredController(it.id) == context.self }
-        own.take(minOf(writes, MAX_FINAL_RECORDS)).toList().forEach { draftOf(it.id)?.writeFinalRecord() }
+        val cancelled = finalRecordPolicy.cancelledJobs().take(minOf(writes, MAX_FINAL_RECORDS)).toList()
+        cancelled.forEach { draftOf(it)?.writeFinalRecord() }
     }
 
     private companion object {
--- a/src/main/kotlin/mintpick/engine/cache/JobCache.kt
+++ b/src/main/kotlin/mintpick/engine/cache/JobCache.kt
@@ -58,7 +58,7 @@
         return cancelled.map { it.id.text }
     }
 
-    /** Cancelled jobs without placed tasks, whose final records have not been written yet. */
+    /** Jobs that have ended but whose final records have not been written yet; see [LocalCache.finalizableJobs]. */
     fun finalizableJobs(): Sequence<Job> = finalizableIds.asSequence().mapNotNull { jobsById[it] }
 
     /** Applies a write of the main record of [id], or its deletion if [value] is null. */
@@ -180,10 +180,16 @@
         } else {
             jobsById[id] = after
         }
-        updateMembership(finalizableIds, id, after != null && after.stage == StoredStage.CANCELLED && after.placedCount == 0)
+        updateMembership(finalizableIds, id, after != null && hasEnded(after))
         updateMembership(waitingIds, id, after != null && after.waitingCount > 0)
     }
 
+    private fun hasEnded(job: Job): Boolean =
+        when (job.stage) {
+            StoredStage.OPEN -> job.doneCount == job.spec.tasks
+            else -> job.placedCount == 0
+        }
+
     private fun updateMembership(
         ids: MutableSet<JobId>,
         id: JobId,
--- a/src/main/kotlin/mintpick/engine/cache/LocalCache.kt
+++ b/src/main/kotlin/mintpick/engine/cache/LocalCache.kt
@@ -111,9 +111,11 @@
     fun cancelledJobs(): List<String> = jobCache.cancelledJobs()
 
     /**
-     * Cancelled jobs without placed tasks, whose final records have not been written yet. These are jobs cancelled with a
-     * predecessor, and jobs with several chunks: until their cancellation was stored, a task could still be placed in a chunk that
-     * the canceller had not seen.
+     * Jobs that have ended but whose final records have not been written yet:
+     * - open jobs whose tasks are all done. Controllers that record the last tasks of different chunks at the same time do not see
+     *   each other's update, so none of them writes the final record.
+     * - cancelled jobs without placed tasks. These are jobs cancelled with a predecessor, and jobs with several chunks: until their
+     *   cancellation was stored, a task could still be placed in a chunk that the canceller had not seen.
      */
     fun finalizableJobs(): Sequence<Job> = jobCache.finalizableJobs()
 
--- a/src/main/kotlin/mintpick/engine/transactions/JobUpdate.kt
+++ b/src/main/kotlin/mintpick/engine/transactions/JobUpdate.kt
@@ -78,7 +78,7 @@
         return true
     }
 
-    /** Requests that the final record be written. Only for a cancelled job without placed tasks. */
+    /** Requests that the final record be written. Only for an open job whose tasks are all done, or a cancelled one without placed tasks. */
     fun writeFinalRecord() {
         writesFinalRecord = true
     }
--- a/src/test/kotlin/mintpick/testing/SimulatedAgent.kt
+++ b/src/test/kotlin/mintpick/testing/SimulatedAgent.kt
@@ -120,6 +120,14 @@
         }
     }
 
+    /** Lets the running task [name] complete at the next tick. */
+    fun complete(
+        name: String,
+        now: Micros,
+    ) {
+        tasks.getValue(name).untilUs = now
+    }
+
     private fun exit(
         name: String,
         task: Task,
