Allow every update of a job after a bounded time, and let it hold back no smaller update

Cause: an update of a job may write up to eight records, and drafts leave a quarter of a controller's writes to submissions. With 25 writes a second and three controllers the bucket holds 8.33 and two of them are reserved, so an update of seven records was never allowed, however long it waited. Sending stopped at the first update that was not allowed, so this one held back every update behind it.

Fix: - The writes left to submissions are no more than the bucket can spare beside the update, so every update is allowed once it is full. - An update that waits no longer ends the sending. Half of the writes that become available are saved for the first one that waits (WriteSavings), and smaller updates share the rest, so neither starves. Placements stay in the order of the queue: one that waits holds back later placements, since its place in the fair share must not go to others, but no outcome. - Pieces of specifications, the other large parts, are limited to the same number of writes and to the bytes of a transaction; before, 9 pieces or more than 40 KB were never allowed either. Values are at most 32 KB, so that one fits beside the other records of an update. - An update that no limit can ever allow pauses its job for 10 s and is logged; before, it was logged and dropped 25 times a second. - txn_ops above write_rps counts as write_rps, since the state store refuses more changes than a second allows; limits below two changes, with which no team with a limit could be served, end the start.

--- a/src/main/kotlin/mintpick/config/SettingsValidator.kt
+++ b/src/main/kotlin/mintpick/config/SettingsValidator.kt
@@ -79,7 +79,7 @@
     private fun effectiveLimits(): PlatformFile.State {
         val current = body.state
         checkLimits("settings.state", current)
-        val next = current.next ?: return current
+        val next = current.next ?: return withinRate(current)
         val announced =
             PlatformFile.State(
                 rps = next.rps ?: current.rps,
@@ -88,22 +88,33 @@
                 transactionOps = next.transactionOps ?: current.transactionOps,
             )
         checkLimits("settings.state.next", announced)
-        return PlatformFile.State(
-            rps = minOf(current.rps, announced.rps),
-            writeRps = minOf(current.writeRps, announced.writeRps),
-            valueKb = minOf(current.valueKb, announced.valueKb),
-            transactionOps = minOf(current.transactionOps, announced.transactionOps),
+        return withinRate(
+            PlatformFile.State(
+                rps = minOf(current.rps, announced.rps),
+                writeRps = minOf(current.writeRps, announced.writeRps),
+                valueKb = minOf(current.valueKb, announced.valueKb),
+                transactionOps = minOf(current.transactionOps, announced.transactionOps),
+            ),
         )
     }
 
+    /** [limits] without transactions of more changes than the state store allows in a second, which it would always refuse. */
+    private fun withinRate(limits: PlatformFile.State): PlatformFile.State =
+        limits.copy(transactionOps = minOf(limits.transactionOps, limits.writeRps.toInt()))
+
     private fun checkLimits(
         field: String,
         limits: PlatformFile.State,
     ) {
         requirePositive("$field.rps", limits.rps)
-        requirePositive("$field.write_rps", limits.writeRps)
         requirePositive("$field.value_kb", limits.valueKb)
-        if (limits.transactionOps < 1) throw ConfigException("$field.txn_ops: ${limits.transactionOps} must be at least 1")
+        requirePositive("$field.write_rps", limits.writeRps)
+        if (limits.writeRps < MIN_CHANGES) throw ConfigException("$field.write_rps: ${limits.writeRps} must be at least $MIN_CHANGES")
+        if (limits.transactionOps <
+            MIN_CHANGES
+        ) {
+            throw ConfigException("$field.txn_ops: ${limits.transactionOps} must be at least $MIN_CHANGES")
+        }
     }
 
     private fun requirePositive(
@@ -118,4 +129,9 @@
         field: String,
         seconds: Double,
     ): Micros = (requirePositive(field, seconds) * SECOND).roundToLong()
+
+    private companion object {
+        /** Records that a placement of a team with a limit writes: a chunk and the team's reservation. */
+        const val MIN_CHANGES = 2
+    }
 }
--- a/src/main/kotlin/mintpick/engine/jobs/SpecStorage.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/SpecStorage.kt
@@ -57,11 +57,22 @@
         if (!isSeparable(job)) return null
         val missing = pieces(job).withIndex().filter { (index, text) -> cache.specPiece(job.id, index) != text }
         if (missing.isEmpty()) return null
-        val writes = missing.take(limits.maxChanges).map { (index, text) -> Write(Keys.spec(job.id.text, index), SpecPieces.json(text)) }
+        val writes = firstThatFit(missing.map { (index, text) -> Write(Keys.spec(job.id.text, index), SpecPieces.json(text)) })
         // The guard makes a delayed copy of this transaction fail if the job has changed since, or now refers to the pieces.
         return TransactionPart(job.id, setOf(Guard(Keys.job(job.id.text), job.version)), writes)
     }
 
+    /** The first of [writes] that fit into one part: at least one. */
+    private fun firstThatFit(writes: List<Write>): List<Write> {
+        var bytes = 0
+        val fitting =
+            writes.take(limits.maxPartChanges).takeWhile { write ->
+                bytes += TransactionPart.bytesOf(write)
+                bytes <= TransactionLimits.MAX_BYTES
+            }
+        return fitting.ifEmpty { writes.take(1) }
+    }
+
     private fun withSeparateSpec(job: Job): Job = if (isSeparable(job)) job.with(specPieceCount = pieces(job).size) else job
 
     /**
--- a/src/main/kotlin/mintpick/engine/jobs/TransactionSender.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/TransactionSender.kt
@@ -46,6 +46,8 @@
     /** Until when each job gets a separate transaction, because a transaction with several jobs was too large. */
     private var singleJobUntilUs: Micros = 0
 
+    private val savings = WriteSavings(context, stateStore.writesPerSecond)
+
     /** Tracks which jobs may be planned. */
     val availability = JobAvailability(context)
 
@@ -63,8 +65,9 @@
     fun isTeamAvailable(team: String): Boolean = team !in limitedTeamsInFlight
 
     /**
-     * Sends [parts] in order until a limit is reached, and leaves [reservedWrites] of the allowed writes unused. Returns the
-     * parts that were sent; the others must be planned again.
+     * Sends [parts] in order as far as the limits allow, and leaves [reservedWrites] of the allowed writes unused. A part that needs
+     * more writes than are allowed now waits without holding back others that need fewer; only placements stay in their order,
+     * which is that of the queue. Returns the parts that were sent; the others must be planned again.
      */
     fun send(
         parts: List<TransactionPart>,
@@ -72,17 +75,23 @@
     ): List<TransactionPart> {
         val sent = ArrayList<TransactionPart>()
         var batch = newBatch()
+        var isPlacementDelayed = false
         for (part in parts) {
             if (!batch.isEmpty && !batch.fits(part)) {
                 sendTransaction(batch.parts)
                 batch = newBatch()
             }
-            if (!mayWrite(batch, part, reservedWrites)) break
-            if (batch.fits(part) && part.valuesFit(formats.maxValueBytes)) {
+            if (stateStore.inFlightTransactions >= MAX_TRANSACTIONS_IN_FLIGHT) break
+            if (part.isPlacement && isPlacementDelayed) continue
+            if (!batch.fits(part) || !part.valuesFit(formats.maxValueBytes)) {
+                pauseOversized(part)
+            } else if (mayWrite(batch, part, reservedWrites)) {
                 batch.add(part)
                 sent += part
+                savings.onSent(part.job)
             } else {
-                LOG.error("job update exceeds transaction or value limits job={} bytes={}", part.job.text, part.bytes)
+                isPlacementDelayed = isPlacementDelayed || part.isPlacement
+                savings.onDelayed(part, part.changeCount + reservedBy(part, reservedWrites))
             }
         }
         if (!batch.isEmpty) sendTransaction(batch.parts)
@@ -91,19 +100,33 @@
 
     private fun newBatch() = TransactionBatch(limits, allowsMultipleParts = context.now >= singleJobUntilUs)
 
+    /** Pauses the job of [part], which alone is too large for a transaction: the same update would be too large again. */
+    private fun pauseOversized(part: TransactionPart) {
+        val guards = part.guards.size
+        LOG.error("job update too large job={} writes={} guards={} bytes={}", part.job.text, part.changeCount, guards, part.bytes)
+        availability.pauseOversized(part.job)
+    }
+
     /**
-     * Whether the limits on writes and on transactions in flight allow [batch] with [part]. A single write is always within
-     * the write limit.
+     * Whether the limit on writes allows [batch] with [part]. A single write is always within the limit unless writes are saved up for
+     * another part.
      */
     private fun mayWrite(
         batch: TransactionBatch,
         part: TransactionPart,
         reservedWrites: Int,
     ): Boolean {
-        if (stateStore.inFlightTransactions >= MAX_TRANSACTIONS_IN_FLIGHT) return false
-        return batch.writesWith(part) <= maxOf(1, stateStore.writesAllowed() - reservedWrites)
+        val saved = savings.savedBeside(part.job)
+        val allowed = stateStore.writesAllowed() - reservedBy(part, maxOf(saved, reservedWrites))
+        return batch.writesWith(part) <= if (saved > 0) allowed else maxOf(1, allowed)
     }
 
+    /** How many of [reservedWrites] writes [part] must leave unused. The largest parts leave fewer, since they could never be sent otherwise. */
+    private fun reservedBy(
+        part: TransactionPart,
+        reservedWrites: Int,
+    ): Int = minOf(reservedWrites, stateStore.maxWrites - part.changeCount).coerceAtLeast(0)
+
     private fun sendTransaction(parts: List<TransactionPart>) {
         val writes = LinkedHashMap<String, Write>()
         parts.forEach { part -> part.writes.forEach { writes[it.key] = it } }
--- a/src/main/kotlin/mintpick/engine/state/RecordFormatNegotiator.kt
+++ b/src/main/kotlin/mintpick/engine/state/RecordFormatNegotiator.kt
@@ -35,14 +35,14 @@
     val allowsDependencies: Boolean get() = current >= RecordFormat.COMPACT
 
     /**
-     * Maximum size of one value in bytes. The oldest format is needed only until the state store's limits are lowered, so the
+     * Maximum size of one value in bytes; about half of a transaction at most, which also has to hold other records. The oldest format is needed only until the state store's limits are lowered, so the
      * limit from before that applies to it.
      */
     val maxValueBytes: Double
         get() {
             val settings = context.settings
             val kilobytes = if (current == RecordFormat.VERBOSE) settings.valueKbAtStart else settings.limits.valueKb
-            return kilobytes * BYTES_PER_KB
+            return minOf(kilobytes, MAX_VALUE_KB) * BYTES_PER_KB
         }
 
     /** Announced format level of each controller, for the status page; the oldest level if it has announced none. */
@@ -70,6 +70,8 @@
         /** Level of a controller without an announcement; lower than the level of every format. */
         const val NOT_ANNOUNCED = 0
 
+        const val MAX_VALUE_KB = 32.0
+
         /** Less than 1024, to leave space for what surrounds a value in a request. */
         const val BYTES_PER_KB = 1000
     }
--- a/src/main/kotlin/mintpick/engine/state/RequestLimits.kt
+++ b/src/main/kotlin/mintpick/engine/state/RequestLimits.kt
@@ -12,15 +12,18 @@
 ) {
     private val controllers = context.settings.peers.size + 1
     private val requests = bucket(context.settings.limits.rps * REQUEST_SHARE / controllers)
-    private val writes = writeBucket(context.settings.limits.writeRps * WRITE_SHARE / controllers)
 
-    private fun bucket(perSecond: Double) = TokenBucket(perSecond, perSecond)
+    /** Number of written keys by which this controller's share grows in a second. */
+    val writesPerSecond: Double = context.settings.limits.writeRps * WRITE_SHARE / controllers
 
-    /** Holds at least one whole update of a job, which could otherwise never be sent where the share of a controller is small. */
-    private fun writeBucket(perSecond: Double): TokenBucket {
-        val largestUpdate = minOf(MAX_UPDATE_WRITES, context.settings.limits.transactionOps)
-        return TokenBucket(perSecond, maxOf(perSecond, largestUpdate.toDouble()))
-    }
+    /** At least one whole update of a job, which could otherwise never be sent where the share of a controller is small. */
+    private val writeBurst = maxOf(writesPerSecond, minOf(MAX_UPDATE_WRITES, context.settings.limits.transactionOps).toDouble())
+    private val writes = TokenBucket(writesPerSecond, writeBurst)
+
+    /** The most written keys that the limit ever allows at once. No transaction that waits for the limit may need more. */
+    val maxWrites: Int = writeBurst.toInt()
+
+    private fun bucket(perSecond: Double) = TokenBucket(perSecond, perSecond)
 
     /** Number of requests that the limit allows now; negative after [chargeRequest] has overdrawn it. */
     fun requestsAvailable(): Double = requests.available(context.now)
--- a/src/main/kotlin/mintpick/engine/state/StateStoreClient.kt
+++ b/src/main/kotlin/mintpick/engine/state/StateStoreClient.kt
@@ -66,6 +66,12 @@
     /** Number of keys that may be written now; larger transactions have to wait. */
     fun writesAllowed(): Int = transactions.writesAllowed()
 
+    /** The most keys that [writesAllowed] ever allows. */
+    val maxWrites: Int get() = connection.limits.maxWrites
+
+    /** Number of keys by which [writesAllowed] grows in a second. */
+    val writesPerSecond: Double get() = connection.limits.writesPerSecond
+
     /** Latency of answered requests other than watches, in milliseconds by percentile, for the status page. */
     fun latencyMs(): Map<String, Double> = statistics.latencyMs()
 
--- a/src/main/kotlin/mintpick/engine/transactions/TransactionBatch.kt
+++ b/src/main/kotlin/mintpick/engine/transactions/TransactionBatch.kt
@@ -26,7 +26,7 @@
         (isEmpty || allowsMultipleParts) &&
             writesWith(part) <= limits.maxChanges &&
             guardsWith(part) <= limits.maxGuards &&
-            bytes + part.bytes <= MAX_BYTES
+            bytes + part.bytes <= TransactionLimits.MAX_BYTES
 
     /** Adds [part]. [fits] must have returned true for it. */
     fun add(part: TransactionPart) {
@@ -43,9 +43,4 @@
         val needsAnother = part.limitedTeam != null && part.limitedTeam !in limitedTeams
         return limitedTeams.size + if (needsAnother) 1 else 0
     }
-
-    private companion object {
-        /** Lower than the state store's limit for one request, which also contains the guards. */
-        const val MAX_BYTES = 40 * 1024
-    }
 }
--- a/src/main/kotlin/mintpick/engine/transactions/TransactionPart.kt
+++ b/src/main/kotlin/mintpick/engine/transactions/TransactionPart.kt
@@ -54,14 +54,20 @@
     /** Whether this part places at least one task. */
     val isPlacement: Boolean get() = placementDemands.isNotEmpty()
 
+    /** Number of records that a transaction with this part alone writes, including the reservation of its team. */
+    val changeCount: Int get() = writes.size + if (limitedTeam == null) 0 else 1
+
     /** Size of the writes in a request. */
-    val bytes: Int = writes.sumOf { it.key.length + it.valueBytes + WRITE_OVERHEAD_BYTES }
+    val bytes: Int = writes.sumOf(::bytesOf)
 
     /** Whether no value is larger than [maxValueBytes]. */
     fun valuesFit(maxValueBytes: Double): Boolean = writes.all { it.valueBytes <= maxValueBytes }
 
-    private companion object {
+    companion object {
         /** Field names and brackets of a write in a request. */
-        const val WRITE_OVERHEAD_BYTES = 40
+        private const val WRITE_OVERHEAD_BYTES = 40
+
+        /** Size of [write] in a request. */
+        fun bytesOf(write: Write): Int = write.key.length + write.valueBytes + WRITE_OVERHEAD_BYTES
     }
 }
--- a/src/test/kotlin/mintpick/testing/BorrowBeforeOutage.kt
+++ b/src/test/kotlin/mintpick/testing/BorrowBeforeOutage.kt
@@ -4,10 +4,8 @@
 import mintpick.net.Call
 import mintpick.net.Target
 import mintpick.store.Keys
-import mintpick.wire.ClaimRecord
 import mintpick.wire.JobKind
 import mintpick.wire.Transaction
-import mintpick.wire.WireJson
 
 /**
  * The leader borrows machines of other controllers. Reads of the owner of one of their shards are late from that commit on, and the
@@ -57,10 +55,10 @@
     private fun onCommitted(transaction: Transaction) {
         val leader = cluster.leader()
         val machines = transaction.changes.mapNotNull { borrowedMachine(it.put) }
-        val node = machines.filter(::hasService).mapNotNull(::ownerOf).firstOrNull { it !== leader } ?: return
+        val node = machines.filter(::hasService).mapNotNull(cluster::ownerOf).firstOrNull { it !== leader } ?: return
         owner = node
         borrower = leader
-        borrowed += machines.filter { ownerOf(it) === node }
+        borrowed += machines.filter { cluster.ownerOf(it) === node }
         cluster.answerDelay = { from, call -> if (from === node && isRead(call)) LATE else 0 }
         cluster.state.onTransaction = { next, isCommitted -> if (isEndingClaim(next, isCommitted, leader)) onEndingClaim(leader) }
         // Without such a claim there is nothing to wait for.
@@ -111,13 +109,6 @@
     private fun borrowedMachine(key: String?): SimulatedAgent? =
         (key?.let(Keys::parse) as? Keys.Subject.Borrow)?.let { cluster.agents[it.machine] }
 
-    private fun ownerOf(machine: SimulatedAgent): SimulatedCluster.Node? {
-        val claims = cluster.state.keys().toMap()
-        val claim = claims[Keys.shard(cluster.shardOf(machine))] ?: return null
-        val name = WireJson.decodeFromString(ClaimRecord.serializer(), claim).node
-        return cluster.nodes.firstOrNull { it.settings.node == name }
-    }
-
     private fun isRead(call: Call) = call.target is Target.State && call.path.startsWith("/follow")
 
     private companion object {
--- a/src/test/kotlin/mintpick/testing/StoredRecords.kt
+++ b/src/test/kotlin/mintpick/testing/StoredRecords.kt
@@ -90,6 +90,13 @@
 internal fun SimulatedCluster.shardOf(agent: SimulatedAgent): Int =
     nodes[0].settings.zones.indexOf(agent.zone) * ShardClaims.PARTITIONS + partitionOf(agent.id)
 
+/** The controller that owns the shard of [machine]; null if nobody has claimed it. */
+internal fun SimulatedCluster.ownerOf(machine: SimulatedAgent): SimulatedCluster.Node? {
+    val claim = state.keys().toMap()[Keys.shard(shardOf(machine))] ?: return null
+    val name = WireJson.decodeFromString(ClaimRecord.serializer(), claim).node
+    return nodes.firstOrNull { it.settings.node == name }
+}
+
 /** Number of shards owned by [node] that contain machines. */
 internal fun SimulatedCluster.occupiedShardCount(node: SimulatedCluster.Node): Int =
     agents.values.map(::shardOf).distinct().count { shard ->
