End a job's exclusion of machines by itself, and let the planner know of it

Cause: a machine on which a job failed was excluded for that job until one of its tasks completed, which could never happen without another machine; and the planner took the excluded machine for free capacity, so no other one was rented.

Fix: an exclusion ends 30 s after the last failure, the longest backoff of a retry; how many machines a job has failed on, which makes it faulty, is counted as before. The demand for capacity carries the machines that its job excludes; the planner fills no task into them and rents another machine if nothing else has room. Such a demand is not merged with those of other jobs. Whether a job could be placed if there were write budget now excludes the same machines.

Tests: FaultyJobsTest (two), FailureTrackerTest.

--- a/src/main/kotlin/mintpick/core/FailureTracker.kt
+++ b/src/main/kotlin/mintpick/core/FailureTracker.kt
@@ -10,16 +10,20 @@
  */
 class FailureTracker {
     private class JobFailures {
-        /** Machines on which the job has failed, the latest last. */
-        val machines = LinkedHashSet<MachineId>()
+        /** When the job last failed on each machine, the latest last. */
+        val failedAtUs = LinkedHashMap<MachineId, Micros>()
+        val machines: Set<MachineId> get() = failedAtUs.keys
         var retries = 0
         var retryAtUs: Micros = 0
         var isFaulty = false
 
-        fun add(machine: MachineId) {
-            machines -= machine
-            machines += machine
-            if (machines.size > MAX_MACHINES_PER_JOB) machines.remove(machines.first())
+        fun add(
+            machine: MachineId,
+            now: Micros,
+        ) {
+            failedAtUs.remove(machine)
+            failedAtUs[machine] = now
+            if (failedAtUs.size > MAX_MACHINES_PER_JOB) failedAtUs.remove(failedAtUs.keys.first())
         }
     }
 
@@ -38,7 +42,7 @@
         now: Micros,
     ) {
         val failures = jobs.getOrPut(job) { JobFailures() }
-        failures.add(machine)
+        failures.add(machine, now)
         // Tasks that are started together and fail together count as one retry.
         if (failures.retryAtUs <= now) {
             failures.retries++
@@ -99,8 +103,17 @@
         now: Micros,
     ): Boolean = now >= (jobs[job]?.retryAtUs ?: 0)
 
-    /** Machines on which [job] has recently failed. A retry on one of them would give no new information. */
-    fun failedMachines(job: JobId): Set<MachineId> = jobs[job]?.machines.orEmpty()
+    /**
+     * Machines on which [job] has failed within [EXCLUSION_PERIOD] before [now]. A retry on one of them would give no new information,
+     * until the machine may have been repaired.
+     */
+    fun failedMachines(
+        job: JobId,
+        now: Micros,
+    ): Set<MachineId> {
+        val failedAtUs = jobs[job]?.failedAtUs ?: return emptySet()
+        return failedAtUs.filterValues { now - it < EXCLUSION_PERIOD }.keys
+    }
 
     /** Removes the data of jobs that are not open and of machines that are no longer known. */
     fun retain(
@@ -121,6 +134,9 @@
         /** Maximum number of tasks of a faulty job that run at the same time. */
         const val FAULTY_JOB_MAX_TASKS = 1
         private const val MAX_MACHINES_PER_JOB = 4
+
+        /** For how long after a failure no task of the job is placed on the machine, as long as the longest backoff. */
+        const val EXCLUSION_PERIOD: Micros = 30 * SECOND
         private const val FIRST_BACKOFF: Micros = SECOND / 2
         private const val MAX_BACKOFF: Micros = 30 * SECOND
         private const val MAX_DOUBLINGS = 6
--- a/src/main/kotlin/mintpick/core/ScaleOutPlanner.kt
+++ b/src/main/kotlin/mintpick/core/ScaleOutPlanner.kt
@@ -22,6 +22,8 @@
     val mayRentOnDemand: Boolean = true,
     /** Whether tasks that may run on spot machines use no on-demand machines, and so give no reason to keep these. */
     val spotOnly: Boolean = false,
+    /** Existing machines on which no task of the job may be placed. */
+    val excludedMachines: Set<MachineId> = emptySet(),
 )
 
 /** Machines to rent, and existing machines that no demand needs. */
@@ -143,10 +145,11 @@
             val spec = demand.spec
             var left = count
             // Spot machines first: on-demand machines are left to tasks that can't use spot machines.
-            if (spec.spot) left = fill(spec, left, existingBins, tasksPerZone) { it.offer.spot }
-            if (!spec.spot || !demand.spotOnly) left = fill(spec, left, existingBins, tasksPerZone) { true }
+            val excluded = demand.excludedMachines
+            if (spec.spot) left = fill(spec, left, existingBins, tasksPerZone) { it.offer.spot && it.machine !in excluded }
+            if (!spec.spot || !demand.spotOnly) left = fill(spec, left, existingBins, tasksPerZone) { it.machine !in excluded }
             // Only a search without constraints of the job applies to other jobs, too.
-            val searchedAllBins = !demand.spotOnly && spec.types == null && spec.zone == null
+            val searchedAllBins = !demand.spotOnly && spec.types == null && spec.zone == null && excluded.isEmpty()
             val isPlacedNowhere = tasksPerZone.values.sum() == 0
             if (left > 0 && searchedAllBins && isPlacedNowhere) unplaceable += spec
             return left
--- a/src/main/kotlin/mintpick/engine/capacity/DemandAggregation.kt
+++ b/src/main/kotlin/mintpick/engine/capacity/DemandAggregation.kt
@@ -28,7 +28,8 @@
 
 private fun keyOf(demand: CapacityDemand): AggregationKey {
     val spec = demand.spec
-    if (spec.oneZone || spec.isGang || demand.tasksPerZone.isNotEmpty()) return AggregationKey.PerJob(spec.id)
+    val isConstrained = demand.tasksPerZone.isNotEmpty() || demand.excludedMachines.isNotEmpty()
+    if (spec.oneZone || spec.isGang || isConstrained) return AggregationKey.PerJob(spec.id)
     return AggregationKey.Requirements(
         spec.jobClass,
         spec.demand,
--- a/src/main/kotlin/mintpick/engine/capacity/DemandForecast.kt
+++ b/src/main/kotlin/mintpick/engine/capacity/DemandForecast.kt
@@ -75,7 +75,15 @@
             if (count == 0) continue
             val spotOnly = scheduler.isSpotOnly(job)
             val queuesTooLong = queuedCpuSeconds > maxQueueTimeS(spec) * spotCpus
-            demands += CapacityDemand(spec, count, scheduler.tasksPerZone(job), !spotOnly && queuesTooLong, spotOnly)
+            demands +=
+                CapacityDemand(
+                    spec,
+                    count,
+                    scheduler.tasksPerZone(job),
+                    mayRentOnDemand = !spotOnly && queuesTooLong,
+                    spotOnly = spotOnly,
+                    excludedMachines = scheduler.excludedMachines(job),
+                )
         }
         return aggregateDemands(demands).take(MAX_DEMANDS)
     }
--- a/src/main/kotlin/mintpick/engine/scheduling/JobPlacer.kt
+++ b/src/main/kotlin/mintpick/engine/scheduling/JobPlacer.kt
@@ -107,7 +107,7 @@
                 candidateFinder.tasksPerZone(job),
                 limit,
                 pass.isOverloaded,
-                excludedMachines = reconciler.failures.failedMachines(job.id),
+                excludedMachines = excludedMachines(job),
                 spotOnly = isSpotOnly(job),
             )
         return placer.place(request, candidates)
@@ -184,11 +184,22 @@
         if (job.spec.isGang) return false
         if (!pass.jobUpdates.isTeamAvailable(job.spec.team)) return false
         if (pass.teamQuota.remainingTasks(job.spec) <= 0) return false
-        val request = PlacementRequest(job.spec, job.waitingTasks(), candidateFinder.tasksPerZone(job), maxTasks = 1, pass.isOverloaded)
+        val request =
+            PlacementRequest(
+                job.spec,
+                job.waitingTasks(),
+                candidateFinder.tasksPerZone(job),
+                maxTasks = 1,
+                pass.isOverloaded,
+                excludedMachines = excludedMachines(job),
+            )
         val found = placer.place(request, candidates)
         return found.any { (_, machine) -> isReadyForTasks(machine, candidates) }
     }
 
+    /** Machines on which no task of [job] is placed, because it has failed there recently. */
+    fun excludedMachines(job: Job): Set<MachineId> = reconciler.failures.failedMachines(job.id, context.now)
+
     /**
      * Whether [job] may be placed on spot machines only. This holds for jobs of the lowest priority: they would keep on-demand
      * machines from becoming empty and being released. Exceptions are jobs with short tasks, and jobs that have waited for
--- a/src/main/kotlin/mintpick/engine/scheduling/Scheduler.kt
+++ b/src/main/kotlin/mintpick/engine/scheduling/Scheduler.kt
@@ -4,6 +4,7 @@
 import mintpick.core.Job
 import mintpick.core.JobId
 import mintpick.core.MILLI
+import mintpick.core.MachineId
 import mintpick.core.Micros
 import mintpick.core.TeamQuota
 import mintpick.core.isProduction
@@ -55,6 +56,9 @@
     /** Whether [job] may currently be placed on spot machines only. */
     fun isSpotOnly(job: Job): Boolean = jobPlacer.isSpotOnly(job)
 
+    /** Machines on which no task of [job] is placed, because it has failed there recently. */
+    fun excludedMachines(job: Job): Set<MachineId> = jobPlacer.excludedMachines(job)
+
     /** Number of placed tasks of [job] in each zone; empty if the job has no zone constraint. */
     fun tasksPerZone(job: Job): Map<String, Int> = candidateFinder.tasksPerZone(job)
 
--- a/src/test/kotlin/mintpick/core/FailureTrackerTest.kt
+++ b/src/test/kotlin/mintpick/core/FailureTrackerTest.kt
@@ -99,4 +99,16 @@
         assertFalse(tracker.hasFailed(job(1)))
         assertEquals(emptyList<MachineId>(), tracker.faultyMachines())
     }
+
+    /** Guards against machines that a job never uses again, although they were repaired. */
+    @Test
+    fun `a machine on which a job has failed is excluded for a limited time`() {
+        val tracker = FailureTracker()
+        tracker.recordFailure(machine(1), job(1), hasSucceeded = false, now = 0)
+        tracker.recordFailure(machine(2), job(1), hasSucceeded = false, now = 10 * SECOND)
+        assertEquals(setOf(machine(1), machine(2)), tracker.failedMachines(job(1), 10 * SECOND))
+        assertEquals(setOf(machine(2)), tracker.failedMachines(job(1), 30 * SECOND))
+        assertEquals(emptySet<MachineId>(), tracker.failedMachines(job(1), 40 * SECOND))
+        assertTrue(tracker.hasFailed(job(1)))
+    }
 }
--- a/src/test/kotlin/mintpick/simulation/FaultyJobsTest.kt
+++ b/src/test/kotlin/mintpick/simulation/FaultyJobsTest.kt
@@ -149,4 +149,35 @@
         assertTrue(cluster.cloud.rentedMachines < 12, "${cluster.cloud.rentedMachines} machines rented for 24 CPUs")
         cluster.assertRulesHeld()
     }
+
+    /** Guards against a job that waits beside an empty machine because its tasks failed there once. */
+    @Test
+    fun `a job whose only machine failed its tasks for a while runs soon after`() {
+        (77L..84L).forEach { seed ->
+            val cluster = SimulatedCluster(seed, FaultRates(), ClusterSize(machines = 1)) { SampleJobs.settings(it) }
+            cluster.taskFails = { _, _ -> cluster.now < 40 * SECOND }
+            val job = SampleJobs.spec("req-000001", "blue", tasks = 4, cpus = 1.0, estimateS = 4.0)
+            cluster.after(10 * SECOND) { cluster.addUser(job, null) }
+            cluster.run(40 * SECOND)
+            assertTrue(cluster.rules.startsOf.isNotEmpty(), "the machine has failed tasks of the job")
+            cluster.run(100 * SECOND)
+            assertEquals(JobStage.DONE, cluster.rules.stageOf(job.id), "seed $seed")
+            cluster.assertRulesHeld()
+        }
+    }
+
+    /** Guards against a planner that takes a machine for free capacity on which the placer places no task of the job. */
+    @Test
+    fun `another machine is rented for a job whose only machine fails all of its tasks`() {
+        (85L..92L).forEach { seed ->
+            val cluster = SimulatedCluster(seed, FaultRates(), ClusterSize(machines = 4)) { SampleJobs.settings(it) }
+            var faulty: String? = null
+            cluster.taskFails = { machine, _ -> machine.id == (faulty ?: machine.id.also { faulty = it }) }
+            val job = SampleJobs.spec("req-000001", "blue", tasks = 4, cpus = 1.0, estimateS = 4.0)
+            cluster.after(10 * SECOND) { cluster.addUser(job, null) }
+            cluster.run(110 * SECOND)
+            assertEquals(JobStage.DONE, cluster.rules.stageOf(job.id), "seed $seed")
+            cluster.assertRulesHeld()
+        }
+    }
 }
