Report calls that can't be queued without waiting for the event loop's own queue

Callers would see a controller that answers nothing any more until it is killed.

Cause: HttpCaller.start runs on the event-loop thread and passed the outcome of a call that no thread could take to EventLoop.put, which waits while the lane of outcomes is full. The only thread that empties the lane was the one that waited. It needs a step that starts more calls to agents than the pool and the lane hold, or a lane that other outcomes have filled during a slow step and one refused call more.

Fix: start returns false for a call that is not sent, and the event loop hands that outcome to the engine with the next step, as it already did for the effects that it discards. No outcome is put into the queue by its own thread any more.

--- a/src/main/kotlin/mintpick/engine/EventLoop.kt
+++ b/src/main/kotlin/mintpick/engine/EventLoop.kt
@@ -16,13 +16,13 @@
  * Runs the engine: takes events from a queue in batches, steps the engine and performs its effects. The thread that calls [run]
  * is the event-loop thread.
  *
- * @param startCall starts a call; its outcome must be passed to [put]
+ * @param startCall starts a call, whose outcome must be passed to [put]; returns false if the call is not sent, without an outcome
  * @param monotonicUs reads the monotonic clock, in microseconds
  * @param wallClockUs reads the wall clock, in microseconds since 1970
  */
 class EventLoop(
     private val engine: StateMachine,
-    private val startCall: (id: Long, call: Call) -> Unit,
+    private val startCall: (id: Long, call: Call) -> Boolean,
     private val monotonicUs: () -> Micros,
     private val wallClockUs: () -> Micros,
 ) {
@@ -115,14 +115,18 @@
     private fun refuse(effect: Effect) {
         when (effect) {
             is Effect.Send -> effect.reply.answer(errorAnswer(UNAVAILABLE, "stood still", RETRY_AFTER_S))
-            is Effect.Start -> notSentOutcomes += Event.CallDone(effect.id, Outcome.NotSent)
+            is Effect.Start -> reportNotSent(effect)
         }
     }
 
+    private fun reportNotSent(start: Effect.Start) {
+        notSentOutcomes += Event.CallDone(start.id, Outcome.NotSent)
+    }
+
     private fun perform(effect: Effect) {
         when (effect) {
             is Effect.Send -> effect.reply.answer(effect.answer)
-            is Effect.Start -> startCall(effect.id, effect.call)
+            is Effect.Start -> if (!startCall(effect.id, effect.call)) reportNotSent(effect)
         }
     }
 
--- a/src/main/kotlin/mintpick/net/HttpCaller.kt
+++ b/src/main/kotlin/mintpick/net/HttpCaller.kt
@@ -10,7 +10,7 @@
  * Makes outgoing calls, with a bounded thread pool for each kind of target. Connections are reused. A call is never sent twice.
  * Thread-safe.
  *
- * @param onOutcome receives the outcome of each call once, on a pool thread, or on the thread that called [start] if the call was rejected
+ * @param onOutcome receives the outcome of each accepted call once, on a pool thread; it may block
  * @param open opens a connection to an address within a number of milliseconds
  */
 class HttpCaller internal constructor(
@@ -29,20 +29,20 @@
     private val idle = IdleConnections()
 
     /**
-     * Queues [call] and returns without waiting for the network. Its outcome is passed on together with [id]. If the queue is full
-     * or [stop] was called, the outcome is [Outcome.NotSent] and is passed on before this function returns.
+     * Queues [call] and returns without waiting for anything. Its outcome is passed on together with [id]. Returns false if the queue is
+     * full or [stop] was called: the call is not sent, and no outcome is passed on.
      */
     fun start(
         id: Long,
         call: Call,
-    ) {
+    ): Boolean =
         try {
             poolOf(call.target).execute { performAndComplete(id, call) }
+            true
         } catch (e: RejectedExecutionException) {
             LOG.debug("call dropped target={} path={} reason={}", call.target, call.path, e.message)
-            onOutcome(id, Outcome.NotSent)
+            false
         }
-    }
 
     /** Stops the threads and closes idle connections. Queued calls are dropped without an outcome. Must be called only once. */
     internal fun stop() {
