Let submissions precede an update that waits for writes, unless it has waited for 5 s

Submissions became slower with the first form of WriteSavings.

Cause: a submission had to leave the writes alone that were saved for a waiting update, although users wait for it, while it always came first before.

Fix: writes are kept from submissions only once the update has waited for 5 s, so that it is still allowed after a bounded time.

Test: WriteSavingsTest.

--- a/src/main/kotlin/mintpick/engine/jobs/JobUpdateWriter.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/JobUpdateWriter.kt
@@ -61,7 +61,7 @@
         arePlacementsWaiting: Boolean,
     ): Boolean {
         // Submissions get separate transactions, so that conflicts of drafts don't delay them.
-        sender.send(submissionPartBuilder.build(), reservedWrites = 0)
+        sender.send(submissionPartBuilder.build(), reservedWrites = 0, hasPrecedence = true)
         val parts = drafts.filter { it.hasChanges }.map(jobUpdatePartBuilder::build)
         val allowed = if (arePlacementsWaiting) writeArbiter.prioritize(parts) else parts
         val sent = sender.send(allowed, writesForSubmissions)
--- a/src/main/kotlin/mintpick/engine/jobs/TransactionSender.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/TransactionSender.kt
@@ -67,11 +67,13 @@
     /**
      * Sends [parts] in order as far as the limits allow, and leaves [reservedWrites] of the allowed writes unused. A part that needs
      * more writes than are allowed now waits without holding back others that need fewer; only placements stay in their order,
-     * which is that of the queue. Returns the parts that were sent; the others must be planned again.
+     * which is that of the queue. Parts with [hasPrecedence] leave writes to one that waits only if it has waited for long. Returns the
+     * parts that were sent; the others must be planned again.
      */
     fun send(
         parts: List<TransactionPart>,
         reservedWrites: Int,
+        hasPrecedence: Boolean = false,
     ): List<TransactionPart> {
         val sent = ArrayList<TransactionPart>()
         var batch = newBatch()
@@ -85,7 +87,7 @@
             if (part.isPlacement && isPlacementDelayed) continue
             if (!batch.fits(part) || !part.valuesFit(formats.maxValueBytes)) {
                 pauseOversized(part)
-            } else if (mayWrite(batch, part, reservedWrites)) {
+            } else if (mayWrite(batch, part, reservedWrites, hasPrecedence)) {
                 batch.add(part)
                 sent += part
                 savings.onSent(part.job)
@@ -115,8 +117,9 @@
         batch: TransactionBatch,
         part: TransactionPart,
         reservedWrites: Int,
+        hasPrecedence: Boolean,
     ): Boolean {
-        val saved = savings.savedBeside(part.job)
+        val saved = savings.savedBeside(part.job, hasPrecedence)
         val allowed = stateStore.writesAllowed() - reservedBy(part, maxOf(saved, reservedWrites))
         return batch.writesWith(part) <= if (saved > 0) allowed else maxOf(1, allowed)
     }
--- a/src/main/kotlin/mintpick/engine/jobs/WriteSavings.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/WriteSavings.kt
@@ -29,11 +29,18 @@
     private var waiting: Waiting? = null
     private var nextLogUs: Micros = 0
 
-    /** Number of allowed writes that a part of [job] must leave unused for the part that waits. */
-    fun savedBeside(job: JobId): Int {
+    /**
+     * Number of allowed writes that a part of [job] must leave unused for the part that waits. For a part with [precedence], which users
+     * wait for, writes are saved only once the other one has waited for [PRECEDENCE_PERIOD].
+     */
+    fun savedBeside(
+        job: JobId,
+        precedence: Boolean = false,
+    ): Int {
         val first = current() ?: return 0
         if (first.job == job) return 0
-        val added = (context.now - first.sinceUs) * writesPerSecond / SECOND
+        val savingUs = context.now - first.sinceUs - if (precedence) PRECEDENCE_PERIOD else 0
+        val added = maxOf(0, savingUs) * writesPerSecond / SECOND
         return minOf(first.writes, (added * SAVED_SHARE).toInt())
     }
 
@@ -74,6 +81,8 @@
         /** Share of the writes that become available which is saved. */
         const val SAVED_SHARE = 0.5
 
+        const val PRECEDENCE_PERIOD: Micros = 5 * SECOND
+
         /** Longest time from one plan of a part to the next. */
         const val PLANNING_INTERVAL: Micros = 3 * SECOND
 
--- a/src/test/kotlin/mintpick/engine/jobs/WriteSavingsTest.kt
+++ b/src/test/kotlin/mintpick/engine/jobs/WriteSavingsTest.kt
@@ -65,6 +65,7 @@
         savings.onDelayed(large, 8)
         advance(SECOND)
         assertEquals(5, savings.savedBeside(other))
+        assertEquals(0, savings.savedBeside(other, precedence = true))
         assertEquals(0, savings.savedBeside(large.job))
         savings.onSent(large.job)
         assertEquals(0, savings.savedBeside(other))
@@ -72,4 +73,19 @@
         advance(4 * SECOND)
         assertEquals(0, savings.savedBeside(other))
     }
+
+    /** Guards against submissions that wait for updates, and against an update that submissions hold back for ever. */
+    @Test
+    fun `writes are kept from parts with precedence only after the waiting update has waited for long`() {
+        val savings = WriteSavings(context, 10.0)
+        val large = part(JobId("req-000001"), 8)
+        val submission = JobId("req-000002")
+        val saved =
+            List(8) {
+                savings.onDelayed(large, 8)
+                advance(SECOND)
+                savings.savedBeside(submission, precedence = true)
+            }
+        assertEquals(listOf(0, 0, 0, 0, 0, 5, 8, 8), saved)
+    }
 }
