Let placements of a job with zone rules conflict, whichever chunks they change

Callers could see tasks of a spread job, or of one that must be in one zone, where the job's other tasks do not allow them (wrong_place).

Cause: the zone rules depend on the placements of all tasks of a job, but placements in different chunks of 256 tasks changed different records, so two controllers that planned from the same records could both store theirs.

Fix: a placement of such a job writes the main record too. Every update is guarded by the main record's version, so the second placement conflicts and is planned again from the current records. Only jobs with a zone rule and more than 256 tasks pay for it, with one more write. A placement may now need a chunk, the main record and its team's reservation, so the lowest txn_ops is 3.

--- a/src/main/kotlin/mintpick/config/SettingsValidator.kt
+++ b/src/main/kotlin/mintpick/config/SettingsValidator.kt
@@ -131,7 +131,7 @@
     ): Micros = (requirePositive(field, seconds) * SECOND).roundToLong()
 
     private companion object {
-        /** Records that a placement of a team with a limit writes: a chunk and the team's reservation. */
-        const val MIN_CHANGES = 2
+        /** Records that a placement may have to write together: a chunk, the main record and the team's reservation. */
+        const val MIN_CHANGES = 3
     }
 }
--- a/src/main/kotlin/mintpick/engine/jobs/JobUpdatePartBuilder.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/JobUpdatePartBuilder.kt
@@ -72,7 +72,7 @@
         val key = Keys.job(job.id.text)
         if (finalStage != null) {
             writes += Write(key, RecordCodec.finalJson(finalStage, job.spec.tasks))
-        } else if (MAIN_CHUNK in changedChunks || job.stage != draft.before.stage) {
+        } else if (MAIN_CHUNK in changedChunks || job.stage != draft.before.stage || conflictsWithOtherPlacements(draft)) {
             writes += Write(key, RecordCodec.jobJson(job, formats.current))
         }
         for (index in changedChunks) {
@@ -81,6 +81,15 @@
         return writes
     }
 
+    /**
+     * Whether the main record must be written so that [draft] conflicts with placements in other chunks: each zone rule depends on the
+     * placements of all tasks, and changes of different chunks do not conflict by themselves.
+     */
+    private fun conflictsWithOtherPlacements(draft: JobUpdate): Boolean {
+        val spec = draft.before.spec
+        return draft.placed.isNotEmpty() && draft.before.chunkCount > 1 && (spec.spread || spec.oneZone)
+    }
+
     private fun chunkWrite(
         job: Job,
         index: Int,
--- a/src/test/kotlin/mintpick/config/SettingsTest.kt
+++ b/src/test/kotlin/mintpick/config/SettingsTest.kt
@@ -76,9 +76,9 @@
                 { t: String -> t.replace("name = \"blue\"", "name = \"a\\nb\"\ncpus = -1.0") },
             "settings.workers.cancel_s: 3.0 must be greater than lease_s (18.0)" to
                 { t: String -> t.replace("cancel_s = 43.0", "cancel_s = 3.0") },
-            "settings.state.txn_ops: 0 must be at least 2" to { t: String -> t.replace("txn_ops = 16", "txn_ops = 0") },
-            "settings.state.txn_ops: 1 must be at least 2" to { t: String -> t.replace("txn_ops = 16", "txn_ops = 1") },
-            "settings.state.write_rps: 1.5 must be at least 2" to { t: String -> t.replace("write_rps = 40.0", "write_rps = 1.5") },
+            "settings.state.txn_ops: 0 must be at least 3" to { t: String -> t.replace("txn_ops = 16", "txn_ops = 0") },
+            "settings.state.txn_ops: 2 must be at least 3" to { t: String -> t.replace("txn_ops = 16", "txn_ops = 2") },
+            "settings.state.write_rps: 2.5 must be at least 3" to { t: String -> t.replace("write_rps = 40.0", "write_rps = 2.5") },
             "settings.state.write_rps: -1.0 must be a finite number greater than 0" to
                 { t: String -> t.replace("write_rps = 40.0", "write_rps = -1.0") },
         )
--- a/src/test/kotlin/mintpick/simulation/WriteLimitsTest.kt
+++ b/src/test/kotlin/mintpick/simulation/WriteLimitsTest.kt
@@ -138,8 +138,8 @@
         runBlocking {
             checkAll(
                 PropTestConfig(seed = 611),
-                Arb.double(2.0, 100.0),
-                Arb.int(2..64),
+                Arb.double(3.0, 100.0),
+                Arb.int(3..64),
                 Arb.int(1..7),
                 Arb.int(1..100_000),
             ) { writesPerSecond, changes, controllers, tasks ->
@@ -148,9 +148,8 @@
                 val limits = TransactionLimits(settings.limits.transactionOps)
                 val spec = array(1, tasks)
                 val job = Job(JobId(spec.id), spec, StoredStage.OPEN, 0, JobRecordInfo(1), emptyMap())
-                // Besides its chunks an update writes the main record or the reservation of its team, never both: only an update that
-                // ends the job writes the main record without its first chunk, and it places nothing.
-                val largest = maxOf(limits.maxChunks(job) + 1, limits.maxPartChanges)
+                // Besides its chunks an update writes the main record and the reservation of its team.
+                val largest = maxOf(limits.maxChunks(job) + 2, limits.maxPartChanges)
                 assertTrue(largest <= settings.limits.transactionOps, "changes of a transaction")
                 assertTrue(largest <= RequestLimits(context).maxWrites, "writes allowed at once")
                 assertTrue(largest <= writesPerSecond, "burst of the state store")
@@ -166,7 +165,7 @@
             checkAll(
                 config,
                 Arb.double(6.0, 40.0),
-                Arb.int(2..32),
+                Arb.int(3..32),
                 Arb.double(2.0, 32.0),
                 Arb.int(1..7),
             ) { rate, changes, kb, controllers ->
