End a cancelled job of several chunks only once all changes before its cancellation are read

Cause: a controller caches its own cancellation as soon as it is committed, possibly before it has read placements that others stored in other chunks before it. It took the cached cancellation for proof that it saw all placements and wrote the final record. The placed task was then stopped as unknown, but no longer counted towards its team's limit, also while its machine hung.

Fix: the final record of such a job is written only when the cache has read all changes up to the main record's version, in an update and in FinalRecordPolicy alike.

Test, failing before (final with changes 13 to 20 unread): JobUpdatePartBuilderTest.

--- a/src/main/kotlin/mintpick/engine/cache/LocalCache.kt
+++ b/src/main/kotlin/mintpick/engine/cache/LocalCache.kt
@@ -149,6 +149,9 @@
     /** The machines of one partition, by piece of its machine list. */
     fun machineListsOf(partition: Int): Map<Int, Map<MachineId, MachineRecord>> = machineCache.listsOf(partition)
 
+    /** Whether all changes up to [revision] are in the cache. Own writes may be in it before earlier ones of other controllers. */
+    fun hasReadUpTo(revision: Long): Boolean = this.revision >= revision
+
     /** Records that all changes up to [revision] have been applied. */
     fun advanceTo(revision: Long) {
         if (revision > this.revision) this.revision = revision
--- a/src/main/kotlin/mintpick/engine/jobs/FinalRecordPolicy.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/FinalRecordPolicy.kt
@@ -29,8 +29,15 @@
         return done.filter(::isDue)
     }
 
-    /** Cancelled jobs without placed tasks that this controller is the first to place. Their cancellation is already known. */
-    fun cancelledJobs(): Sequence<JobId> = endedJobs(StoredStage.CANCELLED).map { it.id }.filter(::isPreferred)
+    /**
+     * Cancelled jobs without placed tasks that this controller is the first to place. Their cancellation is already known. Placements
+     * that were stored before the cancellation must have been read.
+     */
+    fun cancelledJobs(): Sequence<JobId> =
+        endedJobs(StoredStage.CANCELLED)
+            .filter { context.cache.hasReadUpTo(it.version) }
+            .map { it.id }
+            .filter(::isPreferred)
 
     private fun endedJobs(stage: StoredStage): Sequence<Job> = context.cache.finalizableJobs().filter { it.stage == stage }
 
--- a/src/main/kotlin/mintpick/engine/jobs/JobUpdatePartBuilder.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/JobUpdatePartBuilder.kt
@@ -16,7 +16,7 @@
 
 /** Builds the transaction parts that store drafts of job updates. Event-loop thread only. */
 internal class JobUpdatePartBuilder(
-    context: EngineContext,
+    private val context: EngineContext,
     private val formats: RecordFormatNegotiator,
     private val specStorage: SpecStorage,
     private val pendingRequests: PendingRequests,
@@ -116,9 +116,11 @@
     /**
      * Whether [draft] was planned with all placements of the job known. Placements in one chunk don't conflict with changes
      * in another, so a cancellation may be planned before the cache shows all of them. After the cancellation is stored no
-     * further task can be placed, and a cache that shows the cancellation also shows all earlier placements.
+     * further task can be placed, and a cache that has read all changes up to the cancellation also shows all earlier placements. The
+     * canceller's cache shows its own write before that.
      */
-    private fun seesAllPlacements(draft: JobUpdate): Boolean = draft.before.chunkCount == 1 || draft.before.stage == StoredStage.CANCELLED
+    private fun seesAllPlacements(draft: JobUpdate): Boolean =
+        draft.before.chunkCount == 1 || (draft.before.stage == StoredStage.CANCELLED && context.cache.hasReadUpTo(draft.before.version))
 
     private fun listener(job: Job): TransactionListener =
         if (job.stage == StoredStage.CANCELLED) pendingRequests.cancellationListener(job.id) else TransactionListener.None
--- a/src/test/kotlin/mintpick/engine/jobs/JobUpdatePartBuilderTest.kt
+++ b/src/test/kotlin/mintpick/engine/jobs/JobUpdatePartBuilderTest.kt
@@ -24,6 +24,7 @@
 import mintpick.wire.Transaction
 import mintpick.wire.WireJson
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.util.BitSet
@@ -97,4 +98,28 @@
         val job = store(spec())
         assertEquals(listOf(true, true), listOf(placementIn(job, 1), placementIn(job, 2)).map(::commit))
     }
+
+    /**
+     * Guards against a cancelled job that becomes final before its canceller has read a placement in another chunk: the placed task no longer
+     * counted towards its team's limit.
+     */
+    @Test
+    fun `a cancelled job of several chunks becomes final only when all changes before its cancellation are read`() {
+        val empty = Job(JobId("req-000001"), spec(), StoredStage.OPEN, 0, JobRecordInfo(0), emptyMap())
+        val cancelled = RecordCodec.jobJson(empty.with(stage = StoredStage.CANCELLED), RecordFormat.COMPACT)
+        // The canceller's own write is cached at once, whatever it has read by then.
+        cache.apply(Keys.job("req-000001"), cancelled, 20)
+        cache.advanceTo(12)
+        assertFalse(isFinal(finalRecordOf("req-000001")), "changes 13 to 20 are not read")
+        cache.advanceTo(20)
+        assertTrue(isFinal(finalRecordOf("req-000001")))
+    }
+
+    private fun finalRecordOf(id: String): TransactionPart {
+        val draft = JobUpdate(checkNotNull(cache.job(JobId(id))), limits).apply { writeFinalRecord() }
+        return builder.build(draft)
+    }
+
+    private fun isFinal(part: TransactionPart): Boolean =
+        part.writes.any { write -> write.value?.let { RecordCodec.decodeJob(it).isFinal } == true }
 }
