--- a/src/test/kotlin/mintpick/simulation/StaleClaimTest.kt
+++ b/src/test/kotlin/mintpick/simulation/StaleClaimTest.kt
@@ -14,6 +14,7 @@
             DynamicTest.dynamicTest("seed $seed") {
                 val day = BorrowBeforeOutage(seed).apply { play() }
                 assertTrue(day.owner != null, "no machine of another controller was borrowed")
+                assertTrue(day.outageByClaimUs != null, "the claim that ends the store's service was not attempted")
                 assertEquals(
                     emptyList<String>(),
                     day.cluster.rules.breaches
--- a/src/test/kotlin/mintpick/testing/BorrowBeforeOutage.kt
+++ b/src/test/kotlin/mintpick/testing/BorrowBeforeOutage.kt
@@ -1,5 +1,6 @@
 package mintpick.testing
 
+import mintpick.core.Micros
 import mintpick.core.SECOND
 import mintpick.net.Call
 import mintpick.net.Target
@@ -16,12 +17,15 @@
     private val endingClaim: EndingClaim = EndingClaim.OF_OWNER,
 ) {
     /** The claim in whose moment the outage begins. */
-    enum class EndingClaim {
+    enum class EndingClaim(
+        /** Duration of the outage. */
+        val outageUs: Micros,
+    ) {
         /** The owner of the shard claims the shard, whether or not that succeeds. */
-        OF_OWNER,
+        OF_OWNER(40 * SECOND),
 
         /** The leader raises its token for a borrowed machine, which its direct commands no longer reach. */
-        OF_LEADER,
+        OF_LEADER(24 * SECOND),
     }
 
     val cluster = SimulatedCluster(seed, FaultRates(), ClusterSize(machines = MACHINES, spotMachines = 0)) { SampleJobs.settings(it) }
@@ -97,7 +101,7 @@
         isOut = true
         cluster.state.unavailable = true
         cluster.answerDelay = { _, _ -> 0 }
-        cluster.after(OUTAGE) {
+        cluster.after(endingClaim.outageUs) {
             cluster.state.unavailable = false
             cluster.linkDelay = { _, _ -> 0 }
             cluster.rules.faultsOverAtUs = cluster.now
@@ -117,7 +121,6 @@
         const val FIRST_SERVICE = 100
         const val LATE = 60 * SECOND
         const val MAX_WAIT = 3 * SECOND
-        const val OUTAGE = 24 * SECOND
 
         fun id(n: Int) = "req-%06d".format(n)
     }
