--- a/src/test/kotlin/mintpick/simulation/FaultPointsTest.kt
+++ b/src/test/kotlin/mintpick/simulation/FaultPointsTest.kt
@@ -43,8 +43,17 @@
         assertEquals(emptyList<String>(), results.filter { it.breaches.isNotEmpty() }.map { "${it.point}, seed $seed: ${it.breaches}" })
     }
 
+    private fun assertEveryKindMet(results: List<FaultPointResult>) {
+        val kindsNotMet = results.groupBy { it.point.kind }.filterValues { sameKind -> sameKind.none { it.isMet } }
+        assertEquals(emptySet<CommitKind>(), kindsNotMet.keys, "kinds of commits at which no fault was injected")
+    }
+
     @Test
-    fun `no rule is broken by a fault in the instant of a commit`() = assertNoRuleBroken(play(chosen(), controllers = 3))
+    fun `no rule is broken by a fault in the instant of a commit`() {
+        val results = play(chosen(), controllers = 3)
+        assertNoRuleBroken(results)
+        assertEveryKindMet(results)
+    }
 
     @Test
     fun `no rule is broken by such a fault with seven controllers`() =
