Tests: a call that is not sent after a stop has no outcome either

The other half of the new contract, that nothing is passed on, is checked too now, so that the test is as strict as before.

--- a/src/test/kotlin/mintpick/net/HttpCallerTest.kt
+++ b/src/test/kotlin/mintpick/net/HttpCallerTest.kt
@@ -125,6 +125,7 @@
                 assertTrue(end.getOrNull() == -1 || end.exceptionOrNull()?.message == "Connection reset", "$end")
             }
             assertFalse(caller.start(2, Call(Target.Worker("127.0.0.1:${socket.localPort}"), "GET", "/inspect", timeoutUs = 5 * SECOND)))
+            assertTrue(outcomes.isEmpty(), "no outcome of a call that is not sent")
         }
     }
 
