--- a/src/main/kotlin/mintpick/cli/Service.kt
+++ b/src/main/kotlin/mintpick/cli/Service.kt
@@ -46,7 +46,7 @@
     private val apiServer = JdkServer(settings.api, limits.apiThreads)
     private val requestExpiryThread = Thread(null, ::expireRequestsPeriodically, "overdue").apply { isDaemon = true }
 
-    private var nextRefusalReportUs: Micros = 0
+    private var nextReportUs: Micros = 0
 
     /**
      * Starts the servers. Requests wait until the event loop runs.
@@ -80,7 +80,7 @@
             while (true) {
                 routes.expireOverdueRequests()
                 healthLog.tick()
-                reportRefusals()
+                reportIfDue()
                 Thread.sleep(REQUEST_EXPIRY_INTERVAL_MS)
             }
         } catch (_: InterruptedException) {
@@ -89,15 +89,22 @@
         }
     }
 
-    private fun reportRefusals() {
-        if (monotonicUs() < nextRefusalReportUs) return
-        nextRefusalReportUs = monotonicUs() + REFUSAL_REPORT_INTERVAL
+    private fun reportIfDue() {
+        if (monotonicUs() < nextReportUs) return
+        nextReportUs = monotonicUs() + REPORT_INTERVAL
+        LOG.info(
+            "connections limit={} {} own {} server {}",
+            settings.resources.maxConnections,
+            routes.takeConnectionReport(),
+            caller.connectionReport(),
+            apiServer.waits.takeReport(),
+        )
         routes.takeRefusalReport()?.let { LOG.info("requests refused {}", it) }
     }
 
     private companion object {
         val LOG = LoggerFactory.getLogger(Service::class.java)
-        const val REFUSAL_REPORT_INTERVAL: Micros = 10 * SECOND
+        const val REPORT_INTERVAL: Micros = 10 * SECOND
         const val REQUEST_EXPIRY_INTERVAL_MS = 250L
         const val NANOS_PER_MICRO = 1_000L
 
--- a/src/main/kotlin/mintpick/net/GrowingPool.kt
+++ b/src/main/kotlin/mintpick/net/GrowingPool.kt
@@ -18,9 +18,11 @@
 ) : ThreadPoolExecutor(minOf(CORE_THREADS, threads), threads, IDLE_THREAD_S, TimeUnit.SECONDS, taskQueue, { task ->
         Thread(null, task, name, STACK_BYTES).apply { isDaemon = true }
     }) {
-    /** Number of tasks that are running or queued. */
     private val unfinished = AtomicInteger()
 
+    /** Number of tasks that are running or queued. */
+    val unfinishedTasks: Int get() = unfinished.get()
+
     init {
         taskQueue.canGrow = { unfinished.get() > poolSize && poolSize < maximumPoolSize }
         setRejectedExecutionHandler { task, _ ->
--- a/src/main/kotlin/mintpick/net/HttpCaller.kt
+++ b/src/main/kotlin/mintpick/net/HttpCaller.kt
@@ -44,9 +44,14 @@
             false
         }
 
+    /** Returns a text for the log with the number of calls in progress or queued, and of connections kept for reuse. */
+    fun connectionReport(): String = "calls=${pools().sumOf { it.unfinishedTasks }} kept=${idle.size}"
+
+    private fun pools() = listOf(state, urgentState, cloud, agents, suspectAgents, peers)
+
     /** Stops the threads and closes idle connections. Queued calls are dropped without an outcome. Must be called only once. */
     internal fun stop() {
-        listOf(state, urgentState, cloud, agents, suspectAgents, peers).forEach { it.shutdownNow() }
+        pools().forEach { it.shutdownNow() }
         idle.close()
     }
 
--- a/src/main/kotlin/mintpick/net/IdleConnections.kt
+++ b/src/main/kotlin/mintpick/net/IdleConnections.kt
@@ -18,6 +18,9 @@
 
     @Volatile private var isClosed = false
 
+    /** Number of idle connections; approximate while others use this object. */
+    val size: Int get() = byAddress.values.sumOf { it.size }
+
     /** Returns an idle connection to [address] for exclusive use by the caller, or null if there is none. */
     fun acquire(address: String): PooledConnection? {
         val connections = byAddress[address] ?: return null
--- a/src/main/kotlin/mintpick/net/JdkServer.kt
+++ b/src/main/kotlin/mintpick/net/JdkServer.kt
@@ -7,6 +7,7 @@
 import org.http4k.core.MemoryBody
 import org.http4k.core.Method
 import org.http4k.core.Request
+import org.http4k.core.RequestSource
 import org.http4k.core.Response
 import org.http4k.core.Status
 import org.http4k.core.Uri
@@ -14,6 +15,7 @@
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.nio.ByteBuffer
+import java.util.concurrent.Executor
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.RejectedExecutionException
@@ -37,6 +39,9 @@
     private val writers = pool("reply", maxOf(1, threads / READERS_PER_WRITER))
     private var server: HttpServer? = null
 
+    /** How long requests waited for a reader thread, and answers for a writer thread. */
+    val waits = ServerWaits()
+
     /**
      * Binds the address and serves requests with [handler]. Must be called only once.
      *
@@ -45,7 +50,7 @@
     fun start(handler: LaterHandler) {
         val bound = HttpServer.create(InetSocketAddress(address.host, address.port), BACKLOG)
         server = bound
-        bound.executor = readers
+        bound.executor = Executor { task -> queueRequest(task) }
         bound.createContext("/") { exchange -> handle(exchange, handler) }
         bound.start()
     }
@@ -57,6 +62,15 @@
         writers.shutdownNow()
     }
 
+    /** Queues [task], which reads a request and handles it. */
+    private fun queueRequest(task: Runnable) {
+        val queuedNs = System.nanoTime()
+        readers.execute {
+            waits.recordRead(System.nanoTime() - queuedNs)
+            task.run()
+        }
+    }
+
     private fun handle(
         exchange: HttpExchange,
         handler: LaterHandler,
@@ -67,7 +81,8 @@
             return
         }
         val body = exchange.requestBody.readNBytes(MAX_REQUEST_BYTES)
-        val request = Request(method, Uri.of(exchange.requestURI.toString())).body(MemoryBody(ByteBuffer.wrap(body)) as Body)
+        val client = RequestSource(exchange.remoteAddress.address.hostAddress, exchange.remoteAddress.port)
+        val request = Request(method, Uri.of(exchange.requestURI.toString())).source(client).body(MemoryBody(ByteBuffer.wrap(body)) as Body)
         handler(request) { response -> queueResponse(exchange, response) }
     }
 
@@ -75,8 +90,12 @@
         exchange: HttpExchange,
         response: Response,
     ) {
+        val queuedNs = System.nanoTime()
         try {
-            writers.execute { respond(exchange, response) }
+            writers.execute {
+                waits.recordWrite(System.nanoTime() - queuedNs)
+                respond(exchange, response)
+            }
         } catch (e: RejectedExecutionException) {
             // Happens only after the server was stopped, because the queue is unbounded.
             LOG.debug("answer not sent path={}", exchange.requestURI, e)
@@ -120,7 +139,8 @@
         /** Larger than any accepted body, peer hints included. Longer bodies are truncated, which makes them malformed. */
         private const val MAX_REQUEST_BYTES = 512 * 1024
 
-        private const val IDLE_CONNECTION_S = 120
+        /** Time after which a connection without a request is closed. */
+        const val IDLE_CONNECTION_S = 120
 
         /** An incomplete request must not occupy a reader thread for the duration of a network partition. */
         private const val MAX_REQUEST_S = 5
--- a/src/main/kotlin/mintpick/users/Routes.kt
+++ b/src/main/kotlin/mintpick/users/Routes.kt
@@ -2,9 +2,11 @@
 
 import mintpick.core.JobId
 import mintpick.core.Micros
+import mintpick.core.SECOND
 import mintpick.engine.runtime.Event
 import mintpick.engine.runtime.ReplyTo
 import mintpick.net.Answer
+import mintpick.net.JdkServer
 import mintpick.net.LaterHandler
 import mintpick.net.Respond
 import mintpick.net.boundedBody
@@ -37,12 +39,16 @@
     monotonicUs: () -> Micros,
 ) {
     private val unanswered = UnansweredRequests(offer, maxUserRequests, monotonicUs)
+    private val connections = ConnectionTable(JdkServer.IDLE_CONNECTION_S * SECOND, monotonicUs)
+
+    /** Returns a text with the open connections by kind of client, and the most since the last call. */
+    fun takeConnectionReport(): String = connections.takeReport()
 
     /** Returns a text with the requests refused since the last call, by reason; null if there were none. */
     fun takeRefusalReport(): String? = unanswered.refusals.takeReport()
 
     /** Handles requests of users, agents and health checks. */
-    val api: LaterHandler = { request, respond -> routeApi(request, respond) }
+    val api: LaterHandler = { request, respond -> routeApi(request, recorded(request, respond)) }
 
     /** Handles requests of peers and operators. */
     val peerApi: LaterHandler = { request, respond -> routePeerApi(request, respond) }
@@ -50,6 +56,26 @@
     /** Refuses requests that have waited too long for an answer. Must be called several times a second. */
     fun expireOverdueRequests() = unanswered.expireOverdue()
 
+    /** Records [request] in the table of connections, and its response when it is passed to the returned function. */
+    private fun recorded(
+        request: Request,
+        respond: Respond,
+    ): Respond {
+        val connection = request.source ?: return respond
+        connections.onRequest(connection, kindOfClient(request.uri.path))
+        return { response ->
+            connections.onAnswer(connection, closes = response.header("Connection") == "close")
+            respond(response)
+        }
+    }
+
+    private fun kindOfClient(path: String): ClientKind =
+        when (path) {
+            Paths.HEALTH -> ClientKind.HEALTH_CHECK
+            Paths.HEARTBEAT -> ClientKind.AGENT
+            else -> ClientKind.USER
+        }
+
     private fun routeApi(
         request: Request,
         respond: Respond,
