Bound the connections that a controller keeps for its own calls; limits of calls follow from fd_limit

What callers saw: polls of accepted jobs without an answer, because users and health checks could not connect. Cause: connections to agents were kept for 5 s each without a bound, and expired ones were closed only with every 64th release. When agents can't report, the controller calls them directly, so that the fewer sockets are free the more it takes. HttpCallerTest has a test for the bound; the sources before have no such parameter, so it was not run on them.

--- a/src/main/kotlin/mintpick/cli/ClassDataTraining.kt
+++ b/src/main/kotlin/mintpick/cli/ClassDataTraining.kt
@@ -5,6 +5,7 @@
 import mintpick.config.Settings
 import mintpick.core.SECOND
 import mintpick.net.Call
+import mintpick.net.CallLimits
 import mintpick.net.HttpCaller
 import mintpick.net.Target
 import java.util.SplittableRandom
@@ -24,6 +25,7 @@
     private const val ROUNDS = 4
     private const val ROUND_INTERVAL_MS = 625L
     private const val EVENT_LOOP_STOP_TIMEOUT_MS = 1_000L
+    private val CALLS = CallLimits(agentCalls = 2, suspectAgentCalls = 2, keptConnections = 8)
     private val LIMITS = ServiceLimits(apiThreads = 4, peerApiThreads = 2, maxPendingUserRequests = 8)
 
     /**
@@ -61,7 +63,7 @@
     /** Sends all requests in several rounds, because the service refuses them until it has loaded its state. */
     private fun sendRequests(target: Target) {
         val unanswered = CountDownLatch(ROUNDS * TrainingRequest.ALL.size)
-        val client = HttpCaller { _, _ -> unanswered.countDown() }
+        val client = HttpCaller(CALLS) { _, _ -> unanswered.countDown() }
         try {
             repeat(ROUNDS) {
                 Thread.sleep(ROUND_INTERVAL_MS)
--- a/src/main/kotlin/mintpick/cli/Service.kt
+++ b/src/main/kotlin/mintpick/cli/Service.kt
@@ -2,12 +2,14 @@
 
 import mintpick.config.Operators
 import mintpick.config.Settings
+import mintpick.config.SocketBudget
 import mintpick.core.MILLI
 import mintpick.core.Micros
 import mintpick.core.SECOND
 import mintpick.engine.Engine
 import mintpick.engine.EventLoop
 import mintpick.engine.runtime.Event
+import mintpick.net.CallLimits
 import mintpick.net.HttpCaller
 import mintpick.net.JdkServer
 import mintpick.net.Outcome
@@ -38,7 +40,8 @@
     random: SplittableRandom,
     private val limits: ServiceLimits,
 ) : AutoCloseable {
-    private val caller = HttpCaller(::enqueueOutcome)
+    private val sockets = SocketBudget(settings.resources.maxConnections)
+    private val caller = HttpCaller(CallLimits(sockets.agentCalls, sockets.suspectAgentCalls, sockets.keptCalls), ::enqueueOutcome)
     private val eventLoop: EventLoop = EventLoop(Engine(settings, operators, random), caller::start, ::monotonicUs, ::wallClockUs)
     private val routes = Routes(eventLoop::offer, eventLoop::isUp, limits.maxPendingUserRequests, ::monotonicUs)
     private val healthLog = HealthLog(eventLoop::reasonForDown)
--- a/src/main/kotlin/mintpick/net/HttpCaller.kt
+++ b/src/main/kotlin/mintpick/net/HttpCaller.kt
@@ -6,6 +6,19 @@
 import java.io.IOException
 import java.util.concurrent.RejectedExecutionException
 
+/**
+ * Largest numbers of an [HttpCaller]'s connections to agents.
+ *
+ * @param agentCalls calls to agents in progress
+ * @param suspectAgentCalls calls in progress to agents that have not answered recently
+ * @param keptConnections connections to all targets that are kept for further calls
+ */
+class CallLimits(
+    val agentCalls: Int,
+    val suspectAgentCalls: Int,
+    val keptConnections: Int,
+)
+
 /**
  * Makes outgoing calls, with a bounded thread pool for each kind of target. Connections are reused. A call is never sent twice.
  * Thread-safe.
@@ -14,19 +27,20 @@
  * @param open opens a connection to an address within a number of milliseconds
  */
 class HttpCaller internal constructor(
+    limits: CallLimits,
     private val onOutcome: (id: Long, outcome: Outcome) -> Unit,
     private val open: (address: String, timeoutMs: Int) -> PooledConnection,
 ) {
-    constructor(onOutcome: (id: Long, outcome: Outcome) -> Unit) : this(onOutcome, PooledConnection::open)
+    constructor(limits: CallLimits, onOutcome: (id: Long, outcome: Outcome) -> Unit) : this(limits, onOutcome, PooledConnection::open)
 
     private val state = GrowingPool("state", STATE_THREADS)
     private val urgentState = GrowingPool("lease", 1)
     private val cloud = GrowingPool("cloud", CLOUD_THREADS)
-    private val agents = GrowingPool("worker", AGENT_THREADS)
-    private val suspectAgents = GrowingPool("suspect", SUSPECT_AGENT_THREADS)
+    private val agents = GrowingPool("worker", limits.agentCalls)
+    private val suspectAgents = GrowingPool("suspect", limits.suspectAgentCalls)
     private val peers = GrowingPool("peer", PEER_THREADS)
 
-    private val idle = IdleConnections()
+    private val idle = IdleConnections(limits.keptConnections)
 
     /**
      * Queues [call] and returns without waiting for anything. Its outcome is passed on together with [id]. Returns false if the queue is
@@ -117,10 +131,6 @@
         /** Enough for eight transactions, half of which time out, beside a watch, a lease renewal and a reload of missed changes. */
         private const val STATE_THREADS = 12
         private const val CLOUD_THREADS = 3
-        private const val AGENT_THREADS = 48
-
-        /** Enough for an eighth of the fleet failing at the same time, when each call to a failed machine takes its whole time-out. */
-        private const val SUSPECT_AGENT_THREADS = 32
         private const val PEER_THREADS = 2
         private const val CONNECT_TIMEOUT_MS = 1000L
     }
--- a/src/main/kotlin/mintpick/net/IdleConnections.kt
+++ b/src/main/kotlin/mintpick/net/IdleConnections.kt
@@ -1,84 +1,77 @@
 package mintpick.net
 
-import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.TimeUnit
-import java.util.concurrent.atomic.AtomicInteger
 
 /**
- * Idle connections, kept for a few seconds for reuse. The most recently used connection to an address is reused first. Thread-safe.
+ * Idle connections, kept for a few seconds for reuse, at most [maxKept] of them. The most recently used connection to an address is
+ * reused first; the least recently used one of all is closed first. Thread-safe.
  *
  * @param nowNs the monotonic clock, in nanoseconds
  */
 internal class IdleConnections(
+    private val maxKept: Int,
     private val nowNs: () -> Long = System::nanoTime,
 ) : AutoCloseable {
-    private val byAddress = ConcurrentHashMap<String, ConcurrentLinkedDeque<PooledConnection>>()
-    private val releaseCount = AtomicInteger()
+    private val byAddress = HashMap<String, ArrayDeque<PooledConnection>>()
 
-    @Volatile private var isClosed = false
+    /** The address of each connection, in the order of their release. */
+    private val addresses = LinkedHashMap<PooledConnection, String>()
+    private var isClosed = false
 
-    /** Number of idle connections; approximate while others use this object. */
-    val size: Int get() = byAddress.values.sumOf { it.size }
+    /** Number of idle connections. */
+    val size: Int @Synchronized get() = addresses.size
 
     /** Returns an idle connection to [address] for exclusive use by the caller, or null if there is none. */
+    @Synchronized
     fun acquire(address: String): PooledConnection? {
-        val connections = byAddress[address] ?: return null
-        while (true) {
-            val connection = connections.pollFirst() ?: return null
-            if (nowNs() - connection.idleSinceNs < MAX_IDLE_NS) return connection
-            connection.close()
-        }
+        closeExpired()
+        val connection = byAddress[address]?.last() ?: return null
+        remove(connection)
+        return connection
     }
 
     /** Keeps [connection] for the next call to [address]. The caller must no longer use it. */
+    @Synchronized
     fun release(
         address: String,
         connection: PooledConnection,
     ) {
         connection.idleSinceNs = nowNs()
-        // Atomic with respect to removeIfEmpty: a connection added to a queue that was removed from the map would never be closed.
-        byAddress.compute(address) { _, connections ->
-            (connections ?: ConcurrentLinkedDeque()).apply { addFirst(connection) }
-        }
-        if (releaseCount.incrementAndGet() % RELEASES_PER_CLEANUP == 0) closeExpired()
-        if (isClosed) closeAll()
+        byAddress.getOrPut(address) { ArrayDeque() }.addLast(connection)
+        addresses[connection] = address
+        closeExpired()
+        while (addresses.size > (if (isClosed) 0 else maxKept)) closeEldest()
     }
 
     /** Closes all idle connections, and from now on every connection that is released. */
+    @Synchronized
     override fun close() {
         isClosed = true
-        closeAll()
+        while (addresses.isNotEmpty()) closeEldest()
     }
 
-    private fun closeAll() {
-        for (connections in byAddress.values) {
-            while (true) {
-                val connection = connections.pollFirst() ?: break
-                connection.close()
-            }
+    private fun closeExpired() {
+        while (true) {
+            val eldest = addresses.keys.firstOrNull() ?: return
+            if (nowNs() - eldest.idleSinceNs < MAX_IDLE_NS) return
+            closeEldest()
         }
     }
 
-    /** Closes connections that have been idle for too long. Idle connections to a whole fleet would use up the sockets. */
-    private fun closeExpired() {
-        val now = nowNs()
-        for ((address, connections) in byAddress) {
-            while (true) {
-                val oldest = connections.peekLast() ?: break
-                if (now - oldest.idleSinceNs < MAX_IDLE_NS || !connections.remove(oldest)) break
-                oldest.close()
-            }
-            if (connections.isEmpty()) removeIfEmpty(address)
-        }
+    private fun closeEldest() {
+        val eldest = addresses.keys.first()
+        remove(eldest)
+        eldest.close()
     }
 
-    private fun removeIfEmpty(address: String) {
-        byAddress.computeIfPresent(address) { _, left -> left.takeIf { it.isNotEmpty() } }
+    private fun remove(connection: PooledConnection) {
+        val address = addresses.remove(connection) ?: return
+        val connections = byAddress.getValue(address)
+        connections.remove(connection)
+        if (connections.isEmpty()) byAddress.remove(address)
     }
 
     private companion object {
         val MAX_IDLE_NS: Long = TimeUnit.SECONDS.toNanos(5)
-        const val RELEASES_PER_CLEANUP = 64
     }
 }
--- a/src/test/kotlin/mintpick/engine/EventLoopTest.kt
+++ b/src/test/kotlin/mintpick/engine/EventLoopTest.kt
@@ -8,6 +8,7 @@
 import mintpick.engine.runtime.Event
 import mintpick.net.Answer
 import mintpick.net.Call
+import mintpick.net.CallLimits
 import mintpick.net.HttpCaller
 import mintpick.net.Target
 import mintpick.testing.SampleJobs
@@ -93,8 +94,9 @@
         val engine = CallingEngine(count = 4_000)
         val isOpen = CountDownLatch(1)
         lateinit var loop: EventLoop
+        val limits = CallLimits(agentCalls = 48, suspectAgentCalls = 32, keptConnections = 8)
         val caller =
-            HttpCaller({ id, outcome -> loop.put(Event.CallDone(id, outcome)) }, { _, _ ->
+            HttpCaller(limits, { id, outcome -> loop.put(Event.CallDone(id, outcome)) }, { _, _ ->
                 isOpen.await()
                 throw IOException("refused")
             })
--- a/src/test/kotlin/mintpick/net/HttpCallerTest.kt
+++ b/src/test/kotlin/mintpick/net/HttpCallerTest.kt
@@ -18,7 +18,8 @@
  */
 class HttpCallerTest {
     private val outcomes = ArrayBlockingQueue<Outcome>(100)
-    private val caller = HttpCaller { _, outcome -> outcomes.put(outcome) }
+    private val limits = CallLimits(agentCalls = 8, suspectAgentCalls = 4, keptConnections = 3)
+    private val caller = HttpCaller(limits) { _, outcome -> outcomes.put(outcome) }
 
     /**
      * Accepts connections one at a time. Reads a request with a body of [bodyBytes] bytes and sends back the text that [answer] returns
@@ -33,22 +34,32 @@
         val connections = AtomicInteger()
         val requests = AtomicInteger()
 
+        /** Connections that the client has not closed. */
+        val openConnections = AtomicInteger()
+
         init {
             thread(isDaemon = true) {
                 while (!socket.isClosed) {
                     val connection = runCatching { socket.accept() }.getOrNull() ?: break
                     connections.incrementAndGet()
+                    openConnections.incrementAndGet()
                     connection.use {
                         val input = it.getInputStream().buffered()
                         while (true) {
                             var head = ""
-                            while (!head.endsWith("\r\n\r\n")) head += input.read().also { c -> if (c < 0) return@use }.toChar()
+                            while (!head.endsWith("\r\n\r\n")) {
+                                // A client that closes its connection immediately may reset it.
+                                val next = runCatching { input.read() }.getOrDefault(-1)
+                                if (next < 0) return@use
+                                head += next.toChar()
+                            }
                             input.readNBytes(bodyBytes)
                             val text = answer(requests.incrementAndGet()) ?: return@use
                             it.getOutputStream().write(text.encodeToByteArray())
                             if ("close" in text) return@use
                         }
                     }
+                    openConnections.decrementAndGet()
                 }
             }
         }
@@ -71,6 +82,22 @@
         }
     }
 
+    /** Connections kept to hundreds of agents took most sockets of a controller, so that neither users nor agents could connect. */
+    @Test
+    fun `no more connections are kept than the limit, and the one used last is reused`() {
+        val servers = List(12) { Server(2) { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" } }
+        try {
+            servers.forEach { assertTrue(call(it) is Outcome.Answered) }
+            val deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(3)
+            while (servers.sumOf { it.openConnections.get() } > limits.keptConnections && System.nanoTime() < deadlineNs) Thread.sleep(10)
+            assertEquals(limits.keptConnections, servers.sumOf { it.openConnections.get() })
+            assertTrue(call(servers.last()) is Outcome.Answered)
+            assertEquals(1, servers.last().connections.get())
+        } finally {
+            servers.forEach { it.close() }
+        }
+    }
+
     @Test
     fun `a chunked answer and an answer with an error status are read completely`() {
         Server(2) { n ->
@@ -132,7 +159,7 @@
     /** The thread ended without an outcome, and the receiver waited for it for ever. */
     @Test
     fun `an answer that does not fit into the memory is reported as an outcome`() {
-        val failing = HttpCaller({ _, outcome -> outcomes.put(outcome) }, { _, _ -> throw OutOfMemoryError("answer") })
+        val failing = HttpCaller(limits, { _, outcome -> outcomes.put(outcome) }, { _, _ -> throw OutOfMemoryError("answer") })
         failing.start(1, Call(Target.State("127.0.0.1:1"), "GET", "/keys", timeoutUs = SECOND))
         assertEquals(Outcome.NotSent, outcomes.poll(10, TimeUnit.SECONDS))
     }
