Bounded parts of the sockets for agents, users and own calls; agents above their part are refused at once

What callers saw: polls of accepted jobs without an answer after all faults were over, because neither users nor health checks could connect; each failed series of probes doubles the load balancer's pause. Cause: a resource without a reserved part. Agents could hold every socket of a controller: connections were closed by chance after accepted heartbeats only, waiting heartbeats were not bounded, and after 421 or 503 connections stayed open for 120 s. Fix: SocketBudget divides fd_limit; ConnectionTable, in one place, admits and keeps connections by kind of client. The JDK's server accepts no more than the clients' part, so that own calls keep theirs. An fd_limit below 128 ends the start. The soak's agents and users now hold connections of their own, and users reach controllers through a load balancer with probes.

--- a/src/main/kotlin/mintpick/cli/ClassDataTraining.kt
+++ b/src/main/kotlin/mintpick/cli/ClassDataTraining.kt
@@ -3,6 +3,7 @@
 import mintpick.config.Address
 import mintpick.config.Operators
 import mintpick.config.Settings
+import mintpick.config.SocketBudget
 import mintpick.core.SECOND
 import mintpick.net.Call
 import mintpick.net.CallLimits
@@ -26,7 +27,7 @@
     private const val ROUND_INTERVAL_MS = 625L
     private const val EVENT_LOOP_STOP_TIMEOUT_MS = 1_000L
     private val CALLS = CallLimits(agentCalls = 2, suspectAgentCalls = 2, keptConnections = 8)
-    private val LIMITS = ServiceLimits(apiThreads = 4, peerApiThreads = 2, maxPendingUserRequests = 8)
+    private val LIMITS = ServiceLimits(apiThreads = 4, peerApiThreads = 2, SocketBudget(SocketBudget.MIN_SOCKETS, peers = 0), idleS = 15)
 
     /**
      * Runs for about three seconds on the calling thread and on threads of its own.
--- a/src/main/kotlin/mintpick/cli/Main.kt
+++ b/src/main/kotlin/mintpick/cli/Main.kt
@@ -4,6 +4,8 @@
 import mintpick.config.Operators
 import mintpick.config.OperatorsFile
 import mintpick.config.Settings
+import mintpick.config.SocketBudget
+import mintpick.core.SECOND
 import mintpick.net.JdkServer
 import org.slf4j.LoggerFactory
 import picocli.CommandLine
@@ -70,10 +72,10 @@
 
     private fun serve(loaded: LoadedSettings) {
         val settings = loaded.settings
-        val maxConnections = settings.resources.maxConnections
-        JdkServer.prepare(maxConnections * IDLE_SHARE_NUMERATOR / IDLE_SHARE_DENOMINATOR)
-        val maxPendingUserRequests = maxOf(MIN_PENDING_USER_REQUESTS, maxConnections / CONNECTIONS_PER_PENDING_USER_REQUEST)
-        val limits = ServiceLimits(API_THREADS, PEER_API_THREADS, maxPendingUserRequests)
+        val sockets = SocketBudget(settings.resources.maxConnections, settings.peers.size)
+        val idleS = maxOf(MIN_IDLE_CONNECTION_S, settings.heartbeatIntervalUs * HEARTBEATS_UNTIL_IDLE / SECOND)
+        JdkServer.prepare(sockets.clients, sockets.keptAgents + sockets.users, idleS)
+        val limits = ServiceLimits(API_THREADS, PEER_API_THREADS, sockets, idleS)
         Service(settings, loaded.operators, SplittableRandom(SecureRandom().nextLong()), limits).use { service ->
             service.start()
             LOG.info("started node={} zone={} api={} mesh={}", settings.node, settings.zone, settings.api, settings.peerApi)
@@ -86,13 +88,9 @@
         const val PEER_API_THREADS = 6
         const val API_THREADS = 32
 
-        /** Up to three quarters of the connections may be idle. */
-        const val IDLE_SHARE_NUMERATOR = 3
-        const val IDLE_SHARE_DENOMINATOR = 4
-
-        /** Bounds of the number of waiting user requests: a fraction of the sockets, to leave the rest to agents and health checks. */
-        const val MIN_PENDING_USER_REQUESTS = 48
-        const val CONNECTIONS_PER_PENDING_USER_REQUEST = 8
+        /** Longer than users wait between two polls. */
+        const val MIN_IDLE_CONNECTION_S = 15L
+        const val HEARTBEATS_UNTIL_IDLE = 3
     }
 }
 
--- a/src/main/kotlin/mintpick/cli/Service.kt
+++ b/src/main/kotlin/mintpick/cli/Service.kt
@@ -13,6 +13,7 @@
 import mintpick.net.HttpCaller
 import mintpick.net.JdkServer
 import mintpick.net.Outcome
+import mintpick.users.ConnectionLimits
 import mintpick.users.Routes
 import org.slf4j.LoggerFactory
 import java.util.SplittableRandom
@@ -22,12 +23,14 @@
  *
  * @param apiThreads number of threads that read requests of users, agents and health checks
  * @param peerApiThreads number of threads that read requests of other controllers
- * @param maxPendingUserRequests largest number of user requests that wait for their answer at the same time
+ * @param sockets division of the process's sockets
+ * @param idleS time after which the server closes a connection without a request, in seconds
  */
 internal data class ServiceLimits(
     val apiThreads: Int,
     val peerApiThreads: Int,
-    val maxPendingUserRequests: Int,
+    val sockets: SocketBudget,
+    val idleS: Long,
 )
 
 /**
@@ -40,10 +43,12 @@
     random: SplittableRandom,
     private val limits: ServiceLimits,
 ) : AutoCloseable {
-    private val sockets = SocketBudget(settings.resources.maxConnections)
+    private val sockets = limits.sockets
+    private val connectionLimits =
+        ConnectionLimits(sockets.agents, sockets.keptAgents, sockets.users, limits.idleS * SECOND + JdkServer.IDLE_CHECK_MS * MILLI)
     private val caller = HttpCaller(CallLimits(sockets.agentCalls, sockets.suspectAgentCalls, sockets.keptCalls), ::enqueueOutcome)
     private val eventLoop: EventLoop = EventLoop(Engine(settings, operators, random), caller::start, ::monotonicUs, ::wallClockUs)
-    private val routes = Routes(eventLoop::offer, eventLoop::isUp, limits.maxPendingUserRequests, ::monotonicUs)
+    private val routes = Routes(eventLoop::offer, eventLoop::isUp, sockets.pendingUserRequests, connectionLimits, ::monotonicUs)
     private val healthLog = HealthLog(eventLoop::reasonForDown)
     private val peerApiServer = JdkServer(settings.peerApi, limits.peerApiThreads)
     private val apiServer = JdkServer(settings.api, limits.apiThreads)
@@ -97,7 +102,7 @@
         nextReportUs = monotonicUs() + REPORT_INTERVAL
         LOG.info(
             "connections limit={} {} own {} server {}",
-            settings.resources.maxConnections,
+            sockets.maxSockets,
             routes.takeConnectionReport(),
             caller.connectionReport(),
             apiServer.waits.takeReport(),
--- a/src/main/kotlin/mintpick/config/PlatformFile.kt
+++ b/src/main/kotlin/mintpick/config/PlatformFile.kt
@@ -118,10 +118,12 @@
     data class Resources(
         val cpu: Double = 1.0,
         @SerialName("mem_mb") val memoryMb: Double = 0.0,
-        @SerialName("fd_limit") val maxConnections: Int = 0,
+        @SerialName("fd_limit") val maxConnections: Int = DEFAULT_SOCKETS,
     )
 
     companion object {
+        /** Usual limit of a process's open files. */
+        private const val DEFAULT_SOCKETS = 1024
         private val TOML = Toml { ignoreUnknownKeys = true }
 
         /**
--- a/src/main/kotlin/mintpick/config/SettingsValidator.kt
+++ b/src/main/kotlin/mintpick/config/SettingsValidator.kt
@@ -19,6 +19,7 @@
         checkNames()
         checkTeams()
         checkCancellationExceedsLease()
+        checkSockets()
         return toSettings()
     }
 
@@ -53,6 +54,13 @@
         }
     }
 
+    private fun checkSockets() {
+        val sockets = body.resources.maxConnections
+        if (sockets < SocketBudget.MIN_SOCKETS) {
+            throw ConfigException("settings.resources.fd_limit: $sockets must be at least ${SocketBudget.MIN_SOCKETS}")
+        }
+    }
+
     private fun toSettings(): Settings =
         Settings(
             node = file.node,
--- a/src/main/kotlin/mintpick/engine/agents/AgentRegistry.kt
+++ b/src/main/kotlin/mintpick/engine/agents/AgentRegistry.kt
@@ -25,7 +25,7 @@
     private val reachability = ReachabilityTracker(context, index)
     private val dispatcher = CommandDispatcher(context, shardClaims, health, commandPlanner, index, reachability)
     private val unservedMachines = UnservedMachines(context, shardClaims, health)
-    private val answers = HeartbeatAnswers(context, stateStore, shardClaims, health, commandPlanner, index, unservedMachines)
+    private val answers = HeartbeatAnswers(context, stateStore, shardClaims, health, commandPlanner, unservedMachines)
     private val heartbeats = HeartbeatHandler(context, shardClaims, index, reachability, dispatcher, unservedMachines, answers)
 
     /** The view of [machine], or null if it was never contacted or is terminated. */
--- a/src/main/kotlin/mintpick/engine/agents/HeartbeatAnswers.kt
+++ b/src/main/kotlin/mintpick/engine/agents/HeartbeatAnswers.kt
@@ -37,7 +37,6 @@
     private val shardClaims: ShardClaims,
     private val health: ControllerHealth,
     private val commandPlanner: CommandPlanner,
-    private val index: AgentIndex,
     private val unservedMachines: UnservedMachines,
 ) {
     /**
@@ -129,21 +128,7 @@
     private fun accepted(
         claim: Claim,
         commands: List<Command>,
-    ): Answer {
-        val body = WireJson.encodeToString(ReportAnswer.serializer(), ReportAnswer(claim.version, commands))
-        return Answer(OK, body.encodeToByteArray(), closes = closesConnection())
-    }
-
-    /**
-     * Whether the agent's connection is closed after this answer. Agents may keep up to two fifths of the sockets. If there are
-     * more agents, randomly chosen ones have to reconnect. The rest of the sockets stays available to users, health checks,
-     * peers and this controller's own calls.
-     */
-    private fun closesConnection(): Boolean {
-        val kept = context.settings.resources.maxConnections * 2 / 5
-        val agents = index.controlledMachines.size
-        return kept in 1 until agents && context.random.nextInt(agents) >= kept
-    }
+    ): Answer = Answer.json(OK, WireJson.encodeToString(ReportAnswer.serializer(), ReportAnswer(claim.version, commands)))
 
     private fun redirect(claim: Claim): Answer =
         misdirected(HeartbeatOutcome.REDIRECTED, if (shardClaims.isLive(claim.node)) claim.node.text else null)
--- a/src/main/kotlin/mintpick/net/JdkServer.kt
+++ b/src/main/kotlin/mintpick/net/JdkServer.kt
@@ -139,8 +139,8 @@
         /** Larger than any accepted body, peer hints included. Longer bodies are truncated, which makes them malformed. */
         private const val MAX_REQUEST_BYTES = 512 * 1024
 
-        /** Time after which a connection without a request is closed. */
-        const val IDLE_CONNECTION_S = 120
+        /** How often idle connections are looked for, in milliseconds. */
+        const val IDLE_CHECK_MS = 2_000L
 
         /** An incomplete request must not occupy a reader thread for the duration of a network partition. */
         private const val MAX_REQUEST_S = 5
@@ -158,13 +158,23 @@
         }
 
         /**
-         * Sets the system properties of the JDK's server for all servers of the process, including the largest number of idle
-         * connections, [maxConnections]. Must be called before the first server starts, because the JDK reads them only once.
+         * Sets the system properties of the JDK's server for all servers of the process. Must be called before the first server starts,
+         * because the JDK reads them only once.
+         *
+         * @param maxConnections largest number of connections that a server accepts; further ones are closed at once
+         * @param maxIdle largest number of connections of a server that stay open between two requests
+         * @param idleS time after which a connection without a request is closed, in seconds
          */
-        fun prepare(maxConnections: Int) {
+        fun prepare(
+            maxConnections: Int,
+            maxIdle: Int,
+            idleS: Long,
+        ) {
             System.setProperty("sun.net.httpserver.nodelay", "true")
-            System.setProperty("sun.net.httpserver.maxIdleConnections", maxConnections.toString())
-            System.setProperty("sun.net.httpserver.idleInterval", IDLE_CONNECTION_S.toString())
+            System.setProperty("jdk.httpserver.maxConnections", maxConnections.toString())
+            System.setProperty("sun.net.httpserver.maxIdleConnections", maxIdle.toString())
+            System.setProperty("sun.net.httpserver.idleInterval", idleS.toString())
+            System.setProperty("sun.net.httpserver.clockTick", IDLE_CHECK_MS.toString())
             System.setProperty("sun.net.httpserver.maxReqTime", MAX_REQUEST_S.toString())
         }
     }
--- a/src/main/kotlin/mintpick/users/Routes.kt
+++ b/src/main/kotlin/mintpick/users/Routes.kt
@@ -2,11 +2,9 @@
 
 import mintpick.core.JobId
 import mintpick.core.Micros
-import mintpick.core.SECOND
 import mintpick.engine.runtime.Event
 import mintpick.engine.runtime.ReplyTo
 import mintpick.net.Answer
-import mintpick.net.JdkServer
 import mintpick.net.LaterHandler
 import mintpick.net.Respond
 import mintpick.net.boundedBody
@@ -30,16 +28,18 @@
  * @param isUp result of the load balancer's health check. It is called every second and bypasses the queue, where it would
  *   have to wait behind the heartbeats of hundreds of agents.
  * @param maxUserRequests maximum number of user requests that may be waiting for an answer at the same time
+ * @param connectionLimits largest numbers of connections of users and agents
  * @param monotonicUs the monotonic clock, in microseconds
  */
 class Routes(
     offer: (Event) -> Boolean,
     private val isUp: () -> Boolean,
     maxUserRequests: Int,
+    connectionLimits: ConnectionLimits,
     monotonicUs: () -> Micros,
 ) {
     private val unanswered = UnansweredRequests(offer, maxUserRequests, monotonicUs)
-    private val connections = ConnectionTable(JdkServer.IDLE_CONNECTION_S * SECOND, monotonicUs)
+    private val connections = ConnectionTable(connectionLimits, monotonicUs)
 
     /** Returns a text with the open connections by kind of client, and the most since the last call. */
     fun takeConnectionReport(): String = connections.takeReport()
@@ -48,7 +48,7 @@
     fun takeRefusalReport(): String? = unanswered.refusals.takeReport()
 
     /** Handles requests of users, agents and health checks. */
-    val api: LaterHandler = { request, respond -> routeApi(request, recorded(request, respond)) }
+    val api: LaterHandler = { request, respond -> admit(request, respond)?.let { routeApi(request, it) } }
 
     /** Handles requests of peers and operators. */
     val peerApi: LaterHandler = { request, respond -> routePeerApi(request, respond) }
@@ -56,16 +56,26 @@
     /** Refuses requests that have waited too long for an answer. Must be called several times a second. */
     fun expireOverdueRequests() = unanswered.expireOverdue()
 
-    /** Records [request] in the table of connections, and its response when it is passed to the returned function. */
-    private fun recorded(
+    /**
+     * Records [request] in the table of connections. Returns the function that sends its response and closes the connection if it may not
+     * stay open; null if the request was refused because agents have too many connections.
+     */
+    private fun admit(
         request: Request,
         respond: Respond,
-    ): Respond {
+    ): Respond? {
         val connection = request.source ?: return respond
-        connections.onRequest(connection, kindOfClient(request.uri.path))
+        val kind = kindOfClient(request.uri.path)
+        if (!connections.tryAdmit(connection, kind)) {
+            unanswered.recordRefusal(TOO_MANY_AGENTS, RequestOrigin.AGENT_OR_PEER)
+            respond(TOO_MANY_AGENTS.toResponse().header("Connection", CLOSE))
+            return null
+        }
         return { response ->
-            connections.onAnswer(connection, closes = response.header("Connection") == "close")
-            respond(response)
+            // An agent that gets another status turns to the next controller.
+            val mayStay = response.header("Connection") != CLOSE && (kind != ClientKind.AGENT || response.status.code == OK)
+            val stays = connections.onAnswer(connection, mayStay)
+            respond(if (stays) response else response.replaceHeader("Connection", CLOSE))
         }
     }
 
@@ -206,6 +216,8 @@
         const val NOT_ALLOWED = 405
         const val UNAVAILABLE = 503
         const val RETRY_AFTER_S = 1
+        const val CLOSE = "close"
+        val TOO_MANY_AGENTS = errorAnswer(UNAVAILABLE, "too many agents", RETRY_AFTER_S)
         val UP = Answer.json(OK, "{}")
         val NOT_READY = errorAnswer(UNAVAILABLE, "not ready", RETRY_AFTER_S)
         val NO_PATH = errorAnswer(NOT_FOUND, "no such path")
--- a/src/main/kotlin/mintpick/users/UnansweredRequests.kt
+++ b/src/main/kotlin/mintpick/users/UnansweredRequests.kt
@@ -73,7 +73,8 @@
         if (!offer(event(request))) request.answer(TOO_MANY)
     }
 
-    private fun recordRefusal(
+    /** Counts [answer] to a sender of [origin] if it is a refusal. */
+    fun recordRefusal(
         answer: Answer,
         origin: RequestOrigin,
     ) {
--- a/src/test/kotlin/mintpick/config/SettingsTest.kt
+++ b/src/test/kotlin/mintpick/config/SettingsTest.kt
@@ -42,6 +42,7 @@
             "txn_ops" to { t: String -> t.replace("txn_ops = 16", "txn_ops = 0") },
             "state.next.value_kb" to { _: String -> withNext.replace("value_kb = 2.0", "value_kb = 0.0") },
             "state.next.txn_ops" to { _: String -> withNext.replace("txn_ops = 50", "txn_ops = 0") },
+            "fd_limit" to { t: String -> t.replace("fd_limit = 1800", "fd_limit = 127") },
             "cancel_s" to { t: String -> t.replace("cancel_s = 43.0", "cancel_s = 3.0") },
             "zones" to { t: String -> t.replace("[\"north\", \"south\"]", "[]") },
             "node" to { t: String -> t.replace("node = \"node-0\"\n", "") },
--- a/src/test/kotlin/mintpick/soak/SoakClient.kt
+++ b/src/test/kotlin/mintpick/soak/SoakClient.kt
@@ -1,27 +1,18 @@
 package mintpick.soak
 
 import mintpick.core.Micros
-import java.net.URI
-import java.net.http.HttpClient
-import java.net.http.HttpRequest
-import java.net.http.HttpResponse
-import java.time.Duration
-import java.time.temporal.ChronoUnit
-
-/** An answer of a controller. */
-internal class SoakAnswer(
-    val status: Int,
-    val body: String,
-)
-
-/** HTTP client of the users and agents. */
-internal class SoakClient {
-    private val client =
-        HttpClient
-            .newBuilder()
-            .version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(Duration.ofSeconds(1))
-            .build()
+import mintpick.core.SECOND
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+
+/**
+ * The HTTP client of one agent or user. Its connections stay open until the other side closes them: an agent that turns to another
+ * controller comes back on the connection it had.
+ */
+internal class SoakClient(
+    private val sockets: SocketClient,
+) : AutoCloseable {
+    private val connections = ConcurrentHashMap<String, SocketConnection>()
 
     /** Sends a POST; [then] receives the answer, or null if there is none within [timeoutUs]. */
     fun post(
@@ -30,7 +21,7 @@
         body: String,
         timeoutUs: Micros,
         then: (SoakAnswer?) -> Unit,
-    ) = send(request(address, path, timeoutUs).POST(HttpRequest.BodyPublishers.ofString(body)).build(), then)
+    ) = send(address, "POST", path, body, timeoutUs, then)
 
     /** Sends a GET; see [post]. */
     fun get(
@@ -38,20 +29,45 @@
         path: String,
         timeoutUs: Micros,
         then: (SoakAnswer?) -> Unit,
-    ) = send(request(address, path, timeoutUs).GET().build(), then)
+    ) = send(address, "GET", path, null, timeoutUs, then)
 
-    private fun request(
+    private fun send(
         address: String,
+        method: String,
         path: String,
+        body: String?,
         timeoutUs: Micros,
-    ) = HttpRequest.newBuilder(URI("http://$address$path")).timeout(Duration.of(timeoutUs, ChronoUnit.MICROS))
-
-    private fun send(
-        request: HttpRequest,
         then: (SoakAnswer?) -> Unit,
     ) {
-        client.sendAsync(request, HttpResponse.BodyHandlers.ofString()).whenComplete { response, _ ->
-            then(response?.let { SoakAnswer(it.statusCode(), it.body()) })
+        val kept = connections.remove(address)
+        val startNs = System.nanoTime()
+        val use = { connection: SocketConnection ->
+            val elapsedUs = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNs)
+            connection.send(method, path, body, timeoutUs - elapsedUs) { answer ->
+                if (connection.isOpen) connections.put(address, connection)?.close()
+                then(answer)
+            }
+        }
+        if (kept != null && kept.isOpen) return use(kept)
+        sockets.connect(address, minOf(timeoutUs, MAX_CONNECT_TIME)) { connection ->
+            if (connection ==
+                null
+            ) {
+                then(null)
+            } else {
+                use(connection)
+            }
         }
     }
+
+    /** Closes the connection to [address], if there is one. */
+    fun disconnect(address: String) {
+        connections.remove(address)?.close()
+    }
+
+    override fun close() = connections.keys.toList().forEach(::disconnect)
+
+    private companion object {
+        const val MAX_CONNECT_TIME: Micros = SECOND
+    }
 }
--- a/src/test/kotlin/mintpick/soak/SoakRun.kt
+++ b/src/test/kotlin/mintpick/soak/SoakRun.kt
@@ -13,6 +13,7 @@
 import java.net.ServerSocket
 import java.nio.file.Files
 import java.util.SplittableRandom
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.Executors
 
 /** Size of a soak run. */
@@ -24,6 +25,11 @@
     val faultSpanUs: Micros = 30 * SECOND,
     /** By how much more tasks each job has than in an ordinary run. */
     val taskFactor: Int = 1,
+    val settings: SoakSettings = SoakSettings(),
+    /** Services that fill a machine with each of their tasks, so that all [machines] are rented; 0: none. */
+    val fillingServices: Int = 0,
+    /** How long the run goes on after the last fault, even if every job was answered. */
+    val observedUs: Micros = 0,
 )
 
 /** Outcome of a soak run. */
@@ -36,19 +42,32 @@
     val machines: Int,
     val answers: Map<String, Int>,
     val quietForUs: Micros,
+    val longestUnansweredUs: Micros,
+    val mostSockets: Int,
+    val removals: Map<String, Int>,
     val logs: String,
 ) {
     val hasFailed: Boolean get() = breaches.isNotEmpty() || unanswered.isNotEmpty() || starts == 0
 
     override fun toString() =
         "seed $seed: breaches $breaches, unanswered ${unanswered.take(3)}, $starts starts on $machines machines, answers $answers, " +
-            "all answered ${quietForUs / SECOND} s after the last fault, logs in $logs, faults:\n  ${schedule.joinToString("\n  ")}"
+            "longest ${longestUnansweredUs / SECOND} s without an answer, over ${quietForUs / SECOND} s after the last fault, " +
+            "at most $mostSockets sockets, removals by the load balancer $removals, logs in $logs, faults:\n  ${schedule.joinToString(
+                "\n  ",
+            )}"
 }
 
-/** One run of controllers as real processes over loopback, against stand-ins for all other parties, with faults drawn from [seed]. */
+/**
+ * One run of controllers as real processes over loopback, against stand-ins for all other parties.
+ *
+ * @param faultsOf the faults of the run; by default they are drawn from [seed]
+ */
 internal class SoakRun(
     private val seed: Long,
     private val size: SoakSize,
+    private val faultsOf: (SoakTargets, SplittableRandom) -> List<ScheduledFault> = { targets, random ->
+        SoakFaults(targets, random).draw(size.faults, size.faultSpanUs)
+    },
 ) : TaskWatcher {
     private val startNs = System.nanoTime()
     private val lock = Any()
@@ -56,22 +75,24 @@
     private val timer = Executors.newScheduledThreadPool(TIMER_THREADS) { Thread(it, "soak").apply { isDaemon = true } }
     private val directory = Files.createTempDirectory("mintpick-soak-$seed-")
     private val store = SimulatedStateStore()
-    private val rules = RuleChecker(SoakSettings.CANCEL, mapOf("red" to SoakSettings.RED_CPUS_MAX))
-    private val client = SoakClient()
+    private val rules = RuleChecker(size.settings.cancelUs, mapOf("red" to SoakSettings.RED_CPUS_MAX))
+    private val controllers = CopyOnWriteArrayList<ControllerProcess>()
+    private val sockets = SocketClient(timer) { address -> controllers.none { it.apiAddress == address && !it.hasFreeSocket } }
+    private var longestUnansweredUs: Micros = 0
+    private var mostSockets = 0
 
     private fun nowUs(): Micros = (System.nanoTime() - startNs) / NANOS_PER_MICRO
 
     /** Plays the run and ends all its processes. */
     fun play(): SoakResult {
-        val controllers = ArrayList<ControllerProcess>()
-        val agents = StandInAgents(controllers, client, lock, timer, random.split(), ::nowUs, this)
+        val agents = StandInAgents(controllers, sockets, size.settings, lock, timer, random.split(), ::nowUs, this)
         val cloud = StandInCloud(size.machines, agents, timer, random.split(), ::nowUs)
         val state = StandInStateStore(store, lock, timer, random.split(), ::nowUs) { controllers[it].faults }
         val endAll = Thread { controllers.forEach { it.kill() } }
         Runtime.getRuntime().addShutdownHook(endAll)
         try {
-            createControllers(controllers, state, cloud)
-            return play(controllers, agents, cloud)
+            createControllers(state, cloud)
+            return play(agents, cloud)
         } finally {
             timer.shutdownNow()
             endAll.run()
@@ -79,11 +100,11 @@
             agents.close()
             cloud.close()
             state.close()
+            sockets.close()
         }
     }
 
     private fun createControllers(
-        controllers: MutableList<ControllerProcess>,
         state: StandInStateStore,
         cloud: StandInCloud,
     ) {
@@ -91,22 +112,26 @@
         store.retainedChanges = RETAINED_CHANGES
         val addresses = List(size.controllers) { SoakSettings.Addresses(freeAddress(), freeAddress(), state.addressFor(it)) }
         for (i in 0 until size.controllers) {
-            controllers += ControllerProcess(i, directory, addresses[i], SoakSettings.toml(i, addresses, cloud.address))
+            controllers +=
+                ControllerProcess(i, directory, addresses[i], size.settings.toml(i, addresses, cloud.address), size.settings.maxSockets)
         }
         controllers.forEach { it.start() }
     }
 
     private fun play(
-        controllers: List<ControllerProcess>,
         agents: StandInAgents,
         cloud: StandInCloud,
     ): SoakResult {
-        val users = SoakUsers(controllers, client, rules, lock, timer, random.split(), ::nowUs)
+        val loadBalancer = StandInLoadBalancer(controllers, sockets, timer, ::nowUs)
+        val users = SoakUsers(controllers, sockets, loadBalancer, rules, lock, timer, random.split(), ::nowUs)
+        loadBalancer.start()
         checkRules()
+        val socketCounter = Thread(::countSockets, "soak-count").apply { isDaemon = true }
+        socketCounter.start()
         submitJobs(users)
-        awaitFirstStarts()
+        awaitFirstStarts(agents)
         val targets = SoakTargets(controllers, agents, cloud, timer) { synchronized(lock) { store.unavailable = it } }
-        val schedule = SoakFaults(targets, random.split()).draw(size.faults, size.faultSpanUs)
+        val schedule = faultsOf(targets, random.split())
         for (fault in schedule) {
             timer.after(fault.atUs) { fault.begin() }
             timer.after(fault.atUs + fault.durationUs) { fault.end() }
@@ -117,7 +142,11 @@
         synchronized(lock) { rules.faultsOverAtUs = quietSinceUs }
         awaitAnswers(users, quietSinceUs)
         return synchronized(lock) {
-            val breaches = rules.breaches.distinct().take(5)
+            val breaches =
+                rules.breaches
+                    .distinct()
+                    .take(5)
+                    .map { it + historyOf(it, agents) }
             val unanswered = users.unansweredSince(quietSinceUs)
             val quietForUs = nowUs() - quietSinceUs
             SoakResult(
@@ -129,22 +158,51 @@
                 agents.size,
                 users.answers.toSortedMap(),
                 quietForUs,
+                longestUnansweredUs,
+                mostSockets,
+                loadBalancer.removals,
                 "$directory",
             )
         }
     }
 
+    /** What agents received about the task that [breach] names, if it names one. */
+    private fun historyOf(
+        breach: String,
+        agents: StandInAgents,
+    ): String {
+        val task = Regex("""req-\d{6}/\d+""").find(breach)?.value ?: return ""
+        return agents.historyOf(task).joinToString("") { "\n    $it" }
+    }
+
     private fun checkRules() {
-        synchronized(lock) { rules.tick(nowUs()) }
+        synchronized(lock) {
+            rules.tick(nowUs())
+            longestUnansweredUs = maxOf(longestUnansweredUs, rules.longestUnansweredUs(nowUs()))
+        }
         timer.after(SECOND / 5) { checkRules() }
     }
 
+    /** Counts the controllers' sockets until the run is over. */
+    private fun countSockets() {
+        while (!timer.isShutdown) {
+            controllers.forEach { it.countSockets() }
+            mostSockets = maxOf(mostSockets, controllers.maxOf { it.openSockets })
+            Thread.sleep(COUNT_MS)
+        }
+    }
+
     private fun submitJobs(users: SoakUsers) {
         for (n in 1..size.jobs) {
             val cancelAfterUs = if (n % 4 == 0) random.seconds(5, 50) else null
             timer.after(random.seconds(1, 40)) { users.add(jobOf(n), cancelAfterUs) }
             timer.after(random.seconds(1, 40)) { users.pollUnknown("req-%06d".format(UNKNOWN_JOBS + n)) }
         }
+        for (n in 1..size.fillingServices) {
+            val tasks = size.machines / size.fillingServices + 1
+            val service = SampleJobs.service(FILLING_JOBS + n, team = "blue", tasks = tasks, cpus = FILLING_CPUS)
+            timer.after(random.seconds(1, 10)) { users.add(service, null) }
+        }
     }
 
     private fun jobOf(n: Int): JobSpec {
@@ -156,9 +214,11 @@
         }
     }
 
-    private fun awaitFirstStarts() {
+    /** Waits until tasks run, and until all machines are up if there is work for all of them. */
+    private fun awaitFirstStarts(agents: StandInAgents) {
         val deadlineUs = nowUs() + START_TIMEOUT
-        while (synchronized(lock) { rules.starts } == 0 && nowUs() < deadlineUs) Thread.sleep(POLL_MS)
+        val awaited = if (size.fillingServices > 0) size.machines else 0
+        while ((synchronized(lock) { rules.starts } == 0 || agents.size < awaited) && nowUs() < deadlineUs) Thread.sleep(POLL_MS)
     }
 
     private fun endFaults(targets: SoakTargets) {
@@ -178,7 +238,8 @@
         quietSinceUs: Micros,
     ) {
         val deadlineUs = quietSinceUs + ANSWER_BOUND
-        while (users.unansweredSince(quietSinceUs).isNotEmpty() && nowUs() < deadlineUs) Thread.sleep(POLL_MS)
+        val observedUntilUs = quietSinceUs + size.observedUs
+        while (users.unansweredSince(quietSinceUs).isNotEmpty() && nowUs() < deadlineUs || nowUs() < observedUntilUs) Thread.sleep(POLL_MS)
     }
 
     private fun freeAddress(): String = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { "127.0.0.1:${it.localPort}" }
@@ -216,12 +277,17 @@
         const val NANOS_PER_MICRO = 1_000L
         const val MICROS_PER_MILLI = 1_000L
         const val POLL_MS = 100L
+        const val COUNT_MS = 20L
         const val UNKNOWN_JOBS = 500_000
+        const val FILLING_JOBS = 400_000
+
+        /** More than a small machine has, and more than half of a large one. */
+        const val FILLING_CPUS = 12.0
         const val VALUE_BYTES = 16 * 1024
         const val TRANSACTION_CHANGES = 16
         const val CHANGES_PER_SECOND = 40.0
         const val RETAINED_CHANGES = 10_000
-        const val START_TIMEOUT: Micros = 30 * SECOND
+        const val START_TIMEOUT: Micros = 60 * SECOND
 
         /** The rule's bound on the time without an answer after the last fault. */
         const val ANSWER_BOUND: Micros = 75 * SECOND
--- a/src/test/kotlin/mintpick/soak/SoakSettings.kt
+++ b/src/test/kotlin/mintpick/soak/SoakSettings.kt
@@ -4,13 +4,17 @@
 import mintpick.core.SECOND
 import mintpick.testing.SampleJobs
 
-/** Settings of the controllers in a soak run: short times, so that a run of a minute covers many leases. */
-internal object SoakSettings {
-    const val HEARTBEAT_INTERVAL: Micros = SECOND
-    const val LEASE: Micros = 10 * SECOND
-    const val CANCEL: Micros = 24 * SECOND
-    const val RED_CPUS_MAX = 40.0
-
+/**
+ * Settings of the controllers in a soak run. By default times are short, so that a run of a minute covers many leases.
+ *
+ * @param maxSockets the controllers' limit of open sockets
+ */
+internal class SoakSettings(
+    val heartbeatIntervalUs: Micros = SECOND,
+    val leaseUs: Micros = 10 * SECOND,
+    val cancelUs: Micros = 24 * SECOND,
+    val maxSockets: Int = 1800,
+) {
     /** Addresses of one controller. */
     class Addresses(
         val api: String,
@@ -33,9 +37,14 @@
             .replace("\"10.0.0.${index + 1}:8080\"", "\"${own.api}\"")
             .replace("\"10.2.0.2:8443\"", "\"$cloud\"")
             .replace("\"10.2.0.1:2379\"", "\"${own.state}\"")
-            .replace("report_s = 3.0", "report_s = ${HEARTBEAT_INTERVAL.toDouble() / SECOND}")
-            .replace("lease_s = 18.0", "lease_s = ${LEASE.toDouble() / SECOND}")
-            .replace("cancel_s = 43.0", "cancel_s = ${CANCEL.toDouble() / SECOND}")
+            .replace("report_s = 3.0", "report_s = ${heartbeatIntervalUs.toDouble() / SECOND}")
+            .replace("lease_s = 18.0", "lease_s = ${leaseUs.toDouble() / SECOND}")
+            .replace("cancel_s = 43.0", "cancel_s = ${cancelUs.toDouble() / SECOND}")
             .replace("list_lag_s = 2.0", "list_lag_s = 3.0")
+            .replace("fd_limit = 1800", "fd_limit = $maxSockets")
+    }
+
+    companion object {
+        const val RED_CPUS_MAX = 40.0
     }
 }
--- a/src/test/kotlin/mintpick/soak/SoakUsers.kt
+++ b/src/test/kotlin/mintpick/soak/SoakUsers.kt
@@ -12,18 +12,20 @@
 import java.util.concurrent.ScheduledExecutorService
 
 /**
- * Users who submit, repeat, ask and cancel at all controllers. What they see goes to [rules], under [lock].
+ * Users who submit and ask through the load balancer, each on a connection of its own, and repeat, ask and cancel at all controllers.
+ * What they see goes to [rules], under [lock].
  */
 internal class SoakUsers(
     private val controllers: List<ControllerProcess>,
-    private val client: SoakClient,
+    private val sockets: SocketClient,
+    private val loadBalancer: StandInLoadBalancer,
     private val rules: RuleChecker,
     private val lock: Any,
     private val timer: ScheduledExecutorService,
     private val random: SplittableRandom,
     private val nowUs: () -> Micros,
 ) {
-    /** For each job the time of the newest request about it that was answered. */
+    /** For each job the time of the newest poll through the load balancer that was answered, or of its acceptance. */
     private val answeredAt = ConcurrentHashMap<String, Micros>()
 
     /** Answers by kind of request and status. */
@@ -39,7 +41,11 @@
         cancelAfterUs: Micros?,
     ) {
         synchronized(lock) { rules.submitted(spec, nowUs()) }
-        submit(spec) { poll(spec.id) }
+        val connection = BalancedConnection(loadBalancer)
+        submit(spec) {
+            poll(spec.id, connection)
+            askAnyController(spec.id)
+        }
         if (cancelAfterUs != null) timer.after(cancelAfterUs) { cancel(spec.id) }
     }
 
@@ -49,10 +55,11 @@
     ) {
         val requestedUs = nowUs()
         val body = WireJson.encodeToString(JobSpec.serializer(), spec)
-        client.post(anyController(), "/api/jobs", body, SUBMIT_TIMEOUT) { answer ->
+        sendOnce("POST", "/api/jobs", body, SUBMIT_TIMEOUT) { answer ->
             count("submit", answer)
             if (answer?.status in ACCEPTED) {
                 record(spec.id, answer, requestedUs)
+                answeredAt.putIfAbsent(spec.id, requestedUs)
                 then()
                 if (random.occurs(REPEATED)) timer.after(random.seconds(1, 20)) { submit(spec) { } }
             } else {
@@ -62,19 +69,42 @@
         }
     }
 
-    private fun poll(id: String) {
+    /** Polls as users do, on one [connection] through the load balancer. */
+    private fun poll(
+        id: String,
+        connection: BalancedConnection,
+    ) {
         val requestedUs = nowUs()
         synchronized(lock) { rules.polled(id, requestedUs) }
-        client.get(anyController(), "/api/jobs/$id", POLL_TIMEOUT) { answer ->
+        connection.send("GET", "/api/jobs/$id", null, POLL_TIMEOUT) { answer ->
             count("poll", answer)
-            when (answer?.status) {
-                OK -> {
-                    synchronized(lock) { rules.pollAnswered(id) }
-                    record(id, answer, requestedUs)
-                }
-                NOT_FOUND -> synchronized(lock) { rules.jobAnswered(id, null, nowUs(), requestedUs) }
+            if (answer?.status == OK) {
+                synchronized(lock) { rules.pollAnswered(id) }
+                answeredAt.merge(id, requestedUs, ::maxOf)
             }
-            timer.after(random.seconds(1, 3)) { poll(id) }
+            recordPoll(id, answer, requestedUs)
+            timer.after(random.seconds(1, 3)) { poll(id, connection) }
+        }
+    }
+
+    /** Asks a controller that the load balancer might not have chosen. */
+    private fun askAnyController(id: String) {
+        val requestedUs = nowUs()
+        sendOnce("GET", "/api/jobs/$id", null, POLL_TIMEOUT) { answer ->
+            count("ask", answer)
+            recordPoll(id, answer, requestedUs)
+            timer.after(random.seconds(1, 3)) { askAnyController(id) }
+        }
+    }
+
+    private fun recordPoll(
+        id: String,
+        answer: SoakAnswer?,
+        requestedUs: Micros,
+    ) {
+        when (answer?.status) {
+            OK -> record(id, answer, requestedUs)
+            NOT_FOUND -> synchronized(lock) { rules.jobAnswered(id, null, nowUs(), requestedUs) }
         }
     }
 
@@ -82,7 +112,7 @@
         if (!synchronized(lock) { rules.isAccepted(id) }) return timer.after(SECOND) { cancel(id) }
         synchronized(lock) { rules.cancelRequested(id) }
         val requestedUs = nowUs()
-        client.post(anyController(), "/api/jobs/$id/cancel", "", SUBMIT_TIMEOUT) { answer ->
+        sendOnce("POST", "/api/jobs/$id/cancel", "", SUBMIT_TIMEOUT) { answer ->
             count("cancel", answer)
             if (answer?.status == OK) record(id, answer, requestedUs) else timer.after(SECOND) { cancel(id) }
         }
@@ -90,7 +120,7 @@
 
     /** Asks about a job that nobody has submitted. */
     fun pollUnknown(id: String) =
-        client.get(anyController(), "/api/jobs/$id", POLL_TIMEOUT) { answer ->
+        sendOnce("GET", "/api/jobs/$id", null, POLL_TIMEOUT) { answer ->
             if (answer?.status == OK) synchronized(lock) { rules.jobAnswered(id, JobStage.QUEUED, nowUs()) }
         }
 
@@ -102,7 +132,6 @@
         val body = answer?.body ?: return
         val stage = WireJson.parseToJsonElement(body).jsonObject.getValue("stage")
         synchronized(lock) { rules.jobAnswered(id, WireJson.decodeFromJsonElement(JobStage.serializer(), stage), nowUs(), requestedUs) }
-        answeredAt.merge(id, requestedUs, ::maxOf)
     }
 
     private fun count(
@@ -112,6 +141,24 @@
         answers.merge("$kind ${answer?.status ?: "none"}", 1, Int::plus)
     }
 
+    /** Sends a request to any controller on a connection that is closed afterwards. */
+    private fun sendOnce(
+        method: String,
+        path: String,
+        body: String?,
+        timeoutUs: Micros,
+        then: (SoakAnswer?) -> Unit,
+    ) = sockets.connect(anyController(), minOf(timeoutUs, SECOND)) { connection ->
+        if (connection == null) {
+            then(null)
+        } else {
+            connection.send(method, path, body, timeoutUs) { answer ->
+                connection.close()
+                then(answer)
+            }
+        }
+    }
+
     private fun anyController(): String = controllers[synchronized(random) { random.nextInt(controllers.size) }].apiAddress
 
     private companion object {
--- a/src/test/kotlin/mintpick/soak/StandInAgents.kt
+++ b/src/test/kotlin/mintpick/soak/StandInAgents.kt
@@ -5,6 +5,7 @@
 import mintpick.core.SECOND
 import mintpick.testing.SimulatedAgent
 import mintpick.testing.TaskWatcher
+import mintpick.wire.Command
 import mintpick.wire.CommandBatch
 import mintpick.wire.MachineReport
 import mintpick.wire.Misdirected
@@ -21,7 +22,8 @@
  */
 internal class StandInAgents(
     private val controllers: List<ControllerProcess>,
-    private val client: SoakClient,
+    private val sockets: SocketClient,
+    private val settings: SoakSettings,
     private val lock: Any,
     private val timer: ScheduledExecutorService,
     private val random: SplittableRandom,
@@ -33,6 +35,7 @@
         val agent: SimulatedAgent,
         val server: StandInServer,
     ) {
+        val client = SoakClient(sockets)
         var target = synchronized(random) { random.nextInt(controllers.size) }
 
         @Volatile var isRemoved = false
@@ -40,6 +43,24 @@
 
     private val machines = ConcurrentHashMap<String, Machine>()
 
+    /** Commands that agents have received, with their time and way, by task. Guarded by [lock]. */
+    private val receivedCommands = HashMap<String, MutableList<String>>()
+
+    /** What agents have received about [task], in order. */
+    fun historyOf(task: String): List<String> = synchronized(lock) { receivedCommands[task].orEmpty().toList() }
+
+    private fun recordCommands(
+        machine: Machine,
+        way: String,
+        token: Long,
+        commands: List<Command>,
+    ) {
+        for (it in commands) {
+            val line = "${nowUs()} ${machine.agent.id} epoch ${machine.agent.agentEpoch} $way token $token ${it.verb} attempt ${it.attempt}"
+            receivedCommands.getOrPut(it.task) { ArrayList() } += line
+        }
+    }
+
     /** Thousandths of heartbeats of which a copy reaches a random controller 2 to 15 s later. */
     @Volatile var lateCopies = 0
 
@@ -52,7 +73,7 @@
     ) {
         lateinit var machine: Machine
         val server = StandInServer(timer) { handle(machine, it) }
-        val agent = SimulatedAgent(id, server.address, request.type, request.zone, request.spot, SoakSettings.LEASE, watcher, nowUs())
+        val agent = SimulatedAgent(id, server.address, request.type, request.zone, request.spot, settings.leaseUs, watcher, nowUs())
         machine = Machine(agent, server)
         machines[id] = machine
         tick(machine)
@@ -61,9 +82,13 @@
 
     override fun remove(id: String) {
         val machine = machines.remove(id) ?: return
-        machine.isRemoved = true
-        synchronized(lock) { machine.agent.kill(nowUs()) }
+        synchronized(lock) {
+            machine.isRemoved = true
+            machine.agent.assignedTasks().forEach { receivedCommands.getOrPut(it) { ArrayList() } += "${nowUs()} $id removed" }
+            machine.agent.kill(nowUs())
+        }
         machine.server.close()
+        machine.client.close()
     }
 
     /** Makes [count] machines hang for [spanUs]. */
@@ -87,14 +112,15 @@
         val body = WireJson.encodeToString(MachineReport.serializer(), report)
         if (random.occurs(lateCopies)) timer.after(random.seconds(2, 15)) { sendCopy(body) }
         if (controller.faults.cutFromAgents) return timer.after(HEARTBEAT_TIMEOUT) { tryNext(machine) }
-        client.post(controller.apiAddress, "/checkin", body, HEARTBEAT_TIMEOUT) { answer ->
+        machine.client.post(controller.apiAddress, "/checkin", body, HEARTBEAT_TIMEOUT) { answer ->
             if (controller.faults.cutFromAgents) tryNext(machine) else onAnswer(machine, report, sentUs, answer)
         }
     }
 
     private fun sendCopy(body: String) {
         val target = synchronized(random) { random.nextInt(controllers.size) }
-        client.post(controllers[target].apiAddress, "/checkin", body, HEARTBEAT_TIMEOUT) { }
+        val copies = SoakClient(sockets)
+        copies.post(controllers[target].apiAddress, "/checkin", body, HEARTBEAT_TIMEOUT) { copies.close() }
     }
 
     private fun onAnswer(
@@ -121,6 +147,7 @@
         synchronized(lock) {
             if (machine.isRemoved) return
             machine.agent.tick(nowUs())
+            recordCommands(machine, "heartbeat of $sentUs", body.token, body.commands)
             machine.agent.handleHeartbeatAnswer(report.agentEpoch, sentUs, body.token, body.commands, nowUs())
         }
         awaitNext(machine, sentUs)
@@ -132,7 +159,7 @@
         sentUs: Micros,
     ) {
         val sinceUs = nowUs() - sentUs
-        val isDue = sinceUs >= SoakSettings.HEARTBEAT_INTERVAL || (machine.agent.changed && sinceUs >= MIN_INTERVAL)
+        val isDue = sinceUs >= settings.heartbeatIntervalUs || (machine.agent.changed && sinceUs >= MIN_INTERVAL)
         if (isDue) heartbeat(machine) else timer.after(TICK) { awaitNext(machine, sentUs) }
     }
 
@@ -143,6 +170,7 @@
         val name = WireJson.decodeFromString(Misdirected.serializer(), answer.body).controller
         val named = controllers.indexOfFirst { it.node == name }
         if (named < 0 || named == machine.target) return timer.after(SECOND) { tryNext(machine) }
+        machine.client.disconnect(controllers[machine.target].apiAddress)
         machine.target = named
         timer.after(synchronized(random) { random.nextLong(SECOND / 2) }) { heartbeat(machine) }
     }
@@ -182,6 +210,8 @@
     ): Pair<Int, MachineReport> =
         synchronized(lock) {
             machine.agent.tick(nowUs())
+            val state = if (machine.isRemoved) "removed" else "direct, has epoch ${batch.agentEpoch}"
+            recordCommands(machine, state, batch.token, batch.commands)
             if (machine.isRemoved) {
                 CONFLICT to machine.agent.heartbeat(nowUs())
             } else {
--- a/src/test/kotlin/mintpick/testing/ConnectedUsers.kt
+++ b/src/test/kotlin/mintpick/testing/ConnectedUsers.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.json.jsonObject
 import mintpick.core.Micros
 import mintpick.core.SECOND
+import mintpick.users.ConnectionLimits
 import mintpick.users.Routes
 import mintpick.wire.JobSpec
 import mintpick.wire.JobStage
@@ -12,6 +13,9 @@
 import org.http4k.core.Request
 import org.http4k.core.Response
 
+/** The model has no connections to count. */
+internal val NO_CONNECTION_LIMITS = ConnectionLimits(Int.MAX_VALUE, Int.MAX_VALUE, Int.MAX_VALUE, SECOND)
+
 /**
  * Simulates users who reach the controllers through the load balancer. Each keeps a connection open until an answer does not come in
  * time or the other side closes it. Users submit until accepted and then poll, waiting for each answer as long as the platform's do.
@@ -22,7 +26,9 @@
 ) {
     private val rules get() = cluster.rules
     private val routes =
-        cluster.nodes.associateWith { node -> Routes({ node.deliver(it) }, { node.isUp }, MAX_PENDING_USER_REQUESTS) { cluster.now } }
+        cluster.nodes.associateWith { node ->
+            Routes({ node.deliver(it) }, { node.isUp }, MAX_PENDING_USER_REQUESTS, NO_CONNECTION_LIMITS) { cluster.now }
+        }
 
     /** Polls by result: the status of the answer, or a word for the lack of one. */
     val pollResults = sortedMapOf<String, Int>()
--- a/src/test/kotlin/mintpick/testing/UserFaults.kt
+++ b/src/test/kotlin/mintpick/testing/UserFaults.kt
@@ -24,7 +24,10 @@
     private val cluster: SimulatedCluster,
 ) {
     private val rules get() = cluster.rules
-    private val routes = cluster.nodes.map { node -> Routes({ node.deliver(it) }, { true }, MAX_WAITING_REQUESTS) { cluster.now } }
+    private val routes =
+        cluster.nodes.map { node ->
+            Routes({ node.deliver(it) }, { true }, MAX_WAITING_REQUESTS, NO_CONNECTION_LIMITS) { cluster.now }
+        }
 
     /** Number of answers by kind of request and status, such as `poll 200`. */
     val answerCounts = HashMap<String, Int>()
--- a/src/test/kotlin/mintpick/users/RoutesTest.kt
+++ b/src/test/kotlin/mintpick/users/RoutesTest.kt
@@ -9,6 +9,7 @@
 import org.http4k.core.MemoryBody
 import org.http4k.core.Method
 import org.http4k.core.Request
+import org.http4k.core.RequestSource
 import org.http4k.core.Response
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -20,7 +21,7 @@
     private var now = 0L
     private val events = ArrayList<Event>()
     private val responses = ArrayList<Response>()
-    private val routes = Routes({ events.add(it) }, { true }, maxUserRequests = 3) { now }
+    private val routes = Routes({ events.add(it) }, { true }, maxUserRequests = 3, ConnectionLimits(4, 2, 2, 15 * SECOND)) { now }
 
     private fun send(
         method: Method,
@@ -28,6 +29,16 @@
         body: String = "",
     ) = routes.api(Request(method, path).body(MemoryBody(body))) { responses += it }
 
+    /** Sends a request on the connection from [port]. */
+    private fun sendFrom(
+        port: Int,
+        method: Method,
+        path: String,
+        body: String = "",
+    ) = routes.api(Request(method, path).source(RequestSource("127.0.0.1", port)).body(MemoryBody(body))) { responses += it }
+
+    private val closed get() = responses.map { it.header("Connection") == "close" }
+
     private val heartbeat =
         """{"picker":"host-000001","endpoint":"10.0.0.1:1","breed":"m","plot":"z",""" +
             """"windfall":true,"shift":1,"tally":1,"baton":0,"pieces":[]}"""
@@ -47,6 +58,35 @@
         assertEquals(listOf(200, 200), responses.map { it.status.code })
     }
 
+    /** Agents whose heartbeats waited took every socket, and users could not connect. */
+    @Test
+    fun `heartbeats on more connections than agents may have are refused at once, and users are served`() {
+        (1..6).forEach { sendFrom(it, Method.POST, "/checkin", heartbeat) }
+        assertEquals(4, events.size)
+        assertEquals(listOf(503, 503), responses.map { it.status.code })
+        assertTrue(closed.all { it })
+        sendFrom(7, Method.GET, "/api/jobs/req-000001")
+        sendFrom(8, Method.GET, "/up")
+        assertTrue(events.last() is Event.Poll)
+        assertEquals(200, responses.last().status.code)
+        // A heartbeat on a connection that an agent has already is not refused.
+        sendFrom(1, Method.POST, "/checkin", heartbeat)
+        assertEquals(6, events.size)
+    }
+
+    @Test
+    fun `only some connections of agents stay open after an answer, and none after a refusal`() {
+        (1..4).forEach { sendFrom(it, Method.POST, "/checkin", heartbeat) }
+        (events[0] as Event.Report).reply.answer(Answer.json(421, "{}"))
+        events.drop(1).forEach { (it as Event.Report).reply.answer(Answer.json(200, "{}")) }
+        assertEquals(listOf(true, false, false, true), closed)
+        // The server closes idle connections after a while, which makes room for others.
+        now += 16 * SECOND
+        sendFrom(9, Method.POST, "/checkin", heartbeat)
+        (events.last() as Event.Report).reply.answer(Answer.json(200, "{}"))
+        assertEquals(false, closed.last())
+    }
+
     @Test
     fun `user requests above the limit are refused with Retry-After until others are answered`() {
         repeat(5) { send(Method.GET, "/api/jobs/req-000001") }
