--- a/src/test/kotlin/mintpick/soak/SoakTest.kt
+++ b/src/test/kotlin/mintpick/soak/SoakTest.kt
@@ -6,7 +6,8 @@
 
 /**
  * Controllers as real processes under random faults. The ordinary test run plays one fixed seed; `mvn test -Psoak` plays 50, or as many
- * as `-Dmintpick.soaks=` sets, from `-Dmintpick.first=` on, every fifth with seven controllers and 200 machines.
+ * as `-Dmintpick.soaks=` sets, from `-Dmintpick.first=` on, every fifth with seven controllers and 250 machines, and every fifth with more
+ * agents than sockets.
  */
 class SoakTest {
     @Test
@@ -30,9 +31,13 @@
     }
 
     private fun sizeOf(seed: Long): SoakSize =
-        if (seed % LARGE_EVERY == 0L) SoakSize(controllers = 7, machines = 250, jobs = 80, faults = 10, taskFactor = 8) else SoakSize()
+        when (seed % KINDS) {
+            0L -> SoakSize(controllers = 7, machines = 250, jobs = 80, faults = 10, taskFactor = 8)
+            3L -> SoakSize(machines = 350, jobs = 40, settings = SoakSettings(maxSockets = 160), fillingServices = 20)
+            else -> SoakSize()
+        }
 
     private companion object {
-        const val LARGE_EVERY = 5L
+        const val KINDS = 5L
     }
 }
