--- a/src/main/kotlin/mintpick/core/MachineView.kt
+++ b/src/main/kotlin/mintpick/core/MachineView.kt
@@ -36,8 +36,11 @@
     /** When the first status was received or the first command was sent. */
     val firstContactUs: Micros,
 ) {
-    /** A start that may still be executed; [agentEpoch] is the epoch of the agent that it was sent to. */
-    private class PendingStart(
+    /**
+     * A start in a direct command; [agentEpoch] is the epoch of the agent that it was sent to. However it was answered, it may be
+     * executed at any later time until the agent refuses it.
+     */
+    private class DirectStart(
         val token: Long,
         val agentEpoch: Long,
     ) {
@@ -66,10 +69,13 @@
     private var tasks: Map<AttemptId, TaskReport> = emptyMap()
 
     /** Starts in direct commands whose call has not completed. */
-    private val inFlightStarts = HashMap<AttemptId, PendingStart>()
+    private val inFlightStarts = HashMap<AttemptId, DirectStart>()
 
     /** Latest start of each attempt whose call timed out. It may be executed later, whatever the outcome of a repeated start. */
-    private val timedOutStarts = HashMap<AttemptId, PendingStart>()
+    private val timedOutStarts = HashMap<AttemptId, DirectStart>()
+
+    /** Latest start of each attempt that the agent has executed and answered. A copy of it may arrive and be executed again. */
+    private val executedStarts = HashMap<AttemptId, DirectStart>()
 
     /** Starts in the answer to the latest heartbeat. They may still arrive until the next heartbeat or a higher agent epoch. */
     private var startsInAnswer: Set<AttemptId> = emptySet()
@@ -94,6 +100,15 @@
     /** Whether the call of a start timed out, and the start may still be executed: only a higher token or epoch rules that out. */
     val needsHigherToken: Boolean get() = timedOutStarts.isNotEmpty()
 
+    /** Attempts that have ended and that the agent must not forget, because their executed start may arrive again. */
+    val retainedAttempts: Collection<AttemptId> get() = retained
+
+    /** Attempts that are new in the newest status, although no start of this controller explains them; see [applyStatus]. */
+    var unexplainedAttempts: Set<AttemptId> = emptySet()
+        private set
+
+    private var retained: List<AttemptId> = emptyList()
+
     /** The entry for [attempt] in the newest status; null if there is none. */
     fun taskReport(attempt: AttemptId): TaskReport? = tasks[attempt]
 
@@ -112,6 +127,9 @@
     /**
      * Applies the status [report], received at [now]. [isDirectAnswer] is true for the answer to a command or probe and false for a
      * heartbeat. Returns false and changes nothing if a status at least as new is already known, as delayed packets may cause.
+     *
+     * Between two statuses of one epoch with the same token the agent executes starts of one controller only. If it is this one,
+     * [unexplainedAttempts] must be empty: a start that could still be executed was not accounted for.
      */
     fun applyStatus(
         report: MachineReport,
@@ -123,15 +141,31 @@
         latestStatus = report
         lastStatusUs = now
         if (!isDirectAnswer) lastHeartbeatUs = now
+        val tasksBefore = tasks
         tasks = tasksOf(report)
+        unexplainedAttempts = if (before != null && isUnderSameToken(before, report)) findUnexplained(tasksBefore) else emptySet()
         // The next heartbeat shows that the agent has read the last answer or no longer waits for it. In a later epoch it drops it.
         if (!isDirectAnswer || report.agentEpoch > (before?.agentEpoch ?: 0)) startsInAnswer = emptySet()
         applyNotice(report.noticeS, now)
-        inFlightStarts.values.removeIf { it.isRefusedAfter(report) }
-        timedOutStarts.values.removeIf { it.isRefusedAfter(report) }
+        for (starts in listOf(inFlightStarts, timedOutStarts, executedStarts)) starts.values.removeIf { it.isRefusedAfter(report) }
+        updateRetained()
         return true
     }
 
+    private fun isUnderSameToken(
+        before: MachineReport,
+        report: MachineReport,
+    ): Boolean = before.agentEpoch == report.agentEpoch && before.token == report.token
+
+    private fun findUnexplained(tasksBefore: Map<AttemptId, TaskReport>): Set<AttemptId> =
+        tasks.keys.filterTo(HashSet()) { it !in tasksBefore && it !in startsInAnswer && !mayStartAgain(it) }
+
+    private fun updateRetained() {
+        retained = if (executedStarts.isEmpty()) emptyList() else tasks.keys.filter { hasEnded(it) && it in executedStarts }
+    }
+
+    private fun hasEnded(attempt: AttemptId): Boolean = tasks[attempt]?.state == TaskState.EXITED
+
     private fun isNewer(
         report: MachineReport,
         agentEpoch: Long,
@@ -165,11 +199,16 @@
         token: Long,
         agentEpoch: Long,
     ) {
-        inFlightStarts[attempt] = PendingStart(token, agentEpoch)
+        inFlightStarts[attempt] = DirectStart(token, agentEpoch)
     }
 
-    /** Records that the call with the latest start of [attempt] completed or was never sent: that start can't be executed later. */
-    fun recordStartResolved(attempt: AttemptId) {
+    /** Records that the agent has executed and answered the latest start of [attempt], which proves nothing about copies of it. */
+    fun recordStartExecuted(attempt: AttemptId) {
+        inFlightStarts.remove(attempt)?.let { executedStarts[attempt] = it }
+    }
+
+    /** Records that the latest start of [attempt] was refused or never sent: that start can't be executed later. */
+    fun recordStartNotExecuted(attempt: AttemptId) {
         inFlightStarts.remove(attempt)
     }
 
@@ -180,6 +219,9 @@
 
     private fun isStartPending(attempt: AttemptId): Boolean = attempt in inFlightStarts || attempt in timedOutStarts
 
+    /** Whether a direct start of [attempt] could be executed if the agent did not list the attempt. */
+    private fun mayStartAgain(attempt: AttemptId): Boolean = isStartPending(attempt) || attempt in executedStarts
+
     /** Records that the answer to the latest heartbeat carries [starts]. */
     fun recordStartsInAnswer(starts: Set<AttemptId>) {
         startsInAnswer = starts
@@ -195,7 +237,7 @@
         // While the agent has a different token, a command of another controller may still arrive.
         if (latestStatus == null || this.token != token || isStartPending(attempt)) return Proof.None
         return when {
-            report == null -> if (attempt in startsInAnswer) Proof.None else Proof.Ended(null)
+            report == null -> if (attempt in startsInAnswer || attempt in executedStarts) Proof.None else Proof.Ended(null)
             report.state == TaskState.EXITED -> Proof.Ended(report.cause)
             else -> Proof.None
         }
@@ -223,11 +265,14 @@
         return isLeaseExpired(now, maxOf(leaseRenewedUs, lastStatusUs), leaseUs)
     }
 
-    /** Whether a command with [token] may make the agent forget [attempt]: no start that may still arrive can run it again. */
+    /**
+     * Whether a command with [token] may make the agent forget [attempt]: no start of it can be executed any more. The agent refuses
+     * starts of other controllers and of earlier claims, since it has shown [token], and no start with [token] remains.
+     */
     fun mayForget(
         attempt: AttemptId,
         token: Long,
-    ): Boolean = this.token == token && !isStartPending(attempt) && attempt !in startsInAnswer
+    ): Boolean = this.token == token && !mayStartAgain(attempt) && attempt !in startsInAnswer
 
     /** Records that [image] of [gb] GB is on the machine. Evicts the oldest images beyond [cacheGb] GB, as the machine does. */
     fun recordImage(
--- a/src/main/kotlin/mintpick/core/Placer.kt
+++ b/src/main/kotlin/mintpick/core/Placer.kt
@@ -22,6 +22,8 @@
     val isOverloaded: Boolean = false,
     /** Machines on which no task of the job may be placed. */
     val excludedMachines: Set<MachineId> = emptySet(),
+    /** Tasks that can't start on a machine yet, by machine. They are placed there only if no other task can be instead. */
+    val blockedTasks: Map<MachineId, Set<Int>> = emptyMap(),
     /** Whether to use spot machines only, although the job itself also allows on-demand machines. */
     val spotOnly: Boolean = false,
 )
@@ -56,7 +58,7 @@
         val spec = request.spec
         if (request.maxTasks <= 0 || candidates.isUnplaceable(spec)) return emptyList()
         val zones = openZones(request, candidates)
-        val matches = Search(request, candidates, zones).run().filter { isPermitted(it, request) }
+        val matches = unblockedFirst(Search(request, candidates, zones).run().filter { isPermitted(it, request) }, request)
         if (matches.isEmpty()) {
             val searchedAllMachines = zones == candidates.zones && request.excludedMachines.isEmpty() && !request.spotOnly
             if (searchedAllMachines) candidates.recordUnplaceable(spec)
@@ -64,10 +66,23 @@
         }
         val zoneCounts = HashMap(request.tasksPerZone)
         val machines = if (spec.spread) pickSpread(request, matches, zoneCounts) else pickInOrder(request, matches, zoneCounts)
-        return request.tasks
-            .take(request.maxTasks)
-            .zip(machines.asSequence(), ::PlacedTask)
-            .toList()
+        return assignTasks(request, machines)
+    }
+
+    /** Assigns the next waiting tasks to [machines], one to each entry, so that as few as possible are blocked there. */
+    private fun assignTasks(
+        request: PlacementRequest,
+        machines: List<MachineId>,
+    ): List<PlacedTask> {
+        val tasks = request.tasks.take(request.maxTasks)
+        if (request.blockedTasks.isEmpty()) return tasks.zip(machines.asSequence(), ::PlacedTask).toList()
+        val unassigned = tasks.toMutableList()
+        return machines.take(unassigned.size).map { machine ->
+            val blocked = request.blockedTasks[machine].orEmpty()
+            val task = unassigned.firstOrNull { it !in blocked } ?: unassigned.first()
+            unassigned.remove(task)
+            PlacedTask(task, machine)
+        }
     }
 
     private fun isPermitted(
@@ -75,6 +90,18 @@
         request: PlacementRequest,
     ): Boolean = match.machine !in request.excludedMachines && (match.entry.candidate.spot || !request.spotOnly)
 
+    /** Moves the machines on which every task of [request] is blocked to the end. */
+    private fun unblockedFirst(
+        matches: List<Match>,
+        request: PlacementRequest,
+    ): List<Match> {
+        if (request.blockedTasks.isEmpty()) return matches
+        return matches.sortedBy { match ->
+            val blocked = request.blockedTasks[match.machine].orEmpty()
+            request.tasks.take(request.maxTasks).all { it in blocked }
+        }
+    }
+
     /** Zones in which another task of [request] may be placed. */
     private fun openZones(
         request: PlacementRequest,
--- a/src/main/kotlin/mintpick/engine/agents/AgentIndex.kt
+++ b/src/main/kotlin/mintpick/engine/agents/AgentIndex.kt
@@ -1,6 +1,7 @@
 package mintpick.engine.agents
 
 import mintpick.core.AttemptId
+import mintpick.core.JobId
 import mintpick.core.MILLI
 import mintpick.core.MachineId
 import mintpick.core.MachineView
@@ -41,6 +42,7 @@
     /** Separate from the views because its iteration order determines the order in which machines are confirmed, probed and given tasks. */
     private val controlPeriods = HashMap<MachineId, ControlPeriod>()
     private val tombstones = HashSet<MachineId>()
+    private val retainedTasks = RetainedTaskIndex()
     private val updatedMachines = HashSet<MachineId>()
 
     /** Attempts whose start has been logged. Filled only while debug logging is enabled. */
@@ -77,8 +79,12 @@
         tombstones += machine
         viewsByMachine.remove(machine)
         controlPeriods.remove(machine)
+        retainedTasks.remove(machine)
     }
 
+    /** Indexes of the tasks of [job] that can't start on a machine yet, because its agent lists an earlier attempt, by machine. */
+    fun retainedTasksOf(job: JobId): Map<MachineId, Set<Int>> = retainedTasks.tasksOf(job)
+
     /** Records the end of a process pause. Missing heartbeats during the pause don't indicate a machine failure. */
     fun onProcessPause() {
         pauseEndedUs = context.now
@@ -91,6 +97,8 @@
     ) {
         updatedMachines += view.id
         recordOtherToken(view)
+        recordUnexplainedAttempts(view)
+        retainedTasks.update(view)
         val cacheGb = cache.machineTypes[report.type]?.cacheGb ?: 0.0
         for ((attempt, task) in view.reportedAttempts) recordTask(view, attempt, task, cacheGb)
     }
@@ -108,6 +116,24 @@
         LOG.info("higher token machine={} token={} own={} revision={}", view.id.text, view.token, claim.version, cache.revision)
     }
 
+    /** Records attempts that an agent under this controller's token has started without a start that this controller knows of. */
+    private fun recordUnexplainedAttempts(view: MachineView) {
+        val unexplained = view.unexplainedAttempts
+        if (unexplained.isEmpty()) return
+        val claim = shardClaims.controlClaim(view.id)
+        if (claim == null || !shardClaims.isOwn(claim) || view.token != claim.version) return
+        context.metrics.recordUnexplainedAttempts(unexplained.size)
+        val attempt = unexplained.first()
+        LOG.warn(
+            "unexplained start machine={} token={} task={} attempt={} count={}",
+            view.id.text,
+            view.token,
+            attempt.task,
+            attempt.attempt,
+            unexplained.size,
+        )
+    }
+
     private fun recordTask(
         view: MachineView,
         attempt: AttemptId,
@@ -136,12 +162,16 @@
     private val maxHeartbeatIntervalUs: Micros get() = context.settings.heartbeatIntervalUs * 5 / 4
 
     /**
-     * Whether the agent has returned the fencing token of this controller's claim, which proves that its status is newer than
-     * the claim. Receiving heartbeats is not enough, because delayed copies may arrive much later.
+     * Whether the agent has returned a fencing token of this controller's present period of control, and none of another controller
+     * since. That proves its status newer than the control, also if the token has been raised meanwhile. Receiving heartbeats is not
+     * enough, because delayed copies may arrive much later.
      */
     fun isConfirmed(view: MachineView): Boolean {
         val claim = shardClaims.controlClaim(view.id) ?: return false
-        return shardClaims.isOwn(claim) && view.latestStatus != null && view.token >= claim.version
+        if (!shardClaims.isOwn(claim) || view.latestStatus == null) return false
+        // A machine that is not listed yet has no period of control.
+        val period = controlPeriods[view.id] ?: return view.token == claim.version
+        return view.token in period.firstToken..claim.version && view.token > period.highestOtherToken
     }
 
     /**
--- a/src/main/kotlin/mintpick/engine/agents/AgentRegistry.kt
+++ b/src/main/kotlin/mintpick/engine/agents/AgentRegistry.kt
@@ -1,5 +1,6 @@
 package mintpick.engine.agents
 
+import mintpick.core.JobId
 import mintpick.core.MachineId
 import mintpick.core.MachineView
 import mintpick.core.Micros
@@ -23,7 +24,8 @@
 ) {
     private val index = AgentIndex(context, stateStore, shardClaims, health)
     private val reachability = ReachabilityTracker(context, index)
-    private val dispatcher = CommandDispatcher(context, shardClaims, health, commandPlanner, index, reachability)
+    private val retention = AttemptRetention(context, shardClaims, index)
+    private val dispatcher = CommandDispatcher(context, shardClaims, health, commandPlanner, index, reachability, retention)
     private val unservedMachines = UnservedMachines(context, shardClaims, health)
     private val answers = HeartbeatAnswers(context, stateStore, shardClaims, health, commandPlanner, unservedMachines)
     private val heartbeats = HeartbeatHandler(context, shardClaims, index, reachability, dispatcher, unservedMachines, answers)
@@ -52,6 +54,9 @@
      */
     fun isAwaitingConfirmation(machine: MachineId): Boolean = index.isAwaitingConfirmation(machine)
 
+    /** Indexes of the tasks of [job] that can't start on a machine yet, because its agent lists an earlier attempt, by machine. */
+    fun retainedTasksOf(job: JobId): Map<MachineId, Set<Int>> = index.retainedTasksOf(job)
+
     /** Whether the agent's lease has certainly expired, so that it has killed its tasks. */
     fun hasLeaseExpired(view: MachineView): Boolean = index.hasLeaseExpired(view)
 
--- a/src/main/kotlin/mintpick/engine/agents/CommandDispatcher.kt
+++ b/src/main/kotlin/mintpick/engine/agents/CommandDispatcher.kt
@@ -28,6 +28,7 @@
     private val commandPlanner: CommandPlanner,
     private val index: AgentIndex,
     private val reachability: ReachabilityTracker,
+    private val retention: AttemptRetention,
 ) {
     /** State of the direct calls to one machine. */
     private class DirectCalls {
@@ -59,23 +60,40 @@
         if (!shardClaims.isOwn(claim) || !health.isHealthy() || index.isTerminated(machine)) return
         val view = index.viewOrCreate(machine)
         val address = addressOf(view) ?: return
-        val commands = if (view.latestStatus == null) emptyList() else commandPlanner.commandsFor(view, claim)
+        val commands = if (view.latestStatus == null) emptyList() else directCommandsFor(view, claim)
         if (mayWaitForHeartbeat(view, claim, commands)) return
         if (!mayCall(machine)) return
         send(view, address, CommandBatch(claim.version, view.agentEpoch, commands))
     }
 
-    /** Whether [commands] only forget attempts and the agent has already returned the current fencing token. */
+    /** The outstanding commands without those that have to wait for the next heartbeat. */
+    private fun directCommandsFor(
+        view: MachineView,
+        claim: Claim,
+    ): List<Command> {
+        val commands = commandPlanner.commandsFor(view, claim)
+        return if (retention.allowsDirectStarts(view)) commands else commands.filter { it.verb != Verb.START }
+    }
+
+    /** Whether [commands] only forget attempts and the agent need not be sent the current fencing token at once. */
     private fun mayWaitForHeartbeat(
         view: MachineView,
         claim: Claim,
         commands: List<Command>,
-    ): Boolean = commands.all { it.verb == Verb.REMOVE } && !lacksCurrentToken(view, claim)
+    ): Boolean = commands.all { it.verb == Verb.REMOVE } && !needsCurrentToken(view, claim)
 
-    private fun lacksCurrentToken(
+    /**
+     * Whether the agent has to show the current fencing token soon: for proof that it obeys this controller, that a start can't be
+     * executed any more, or to forget an attempt that is in the way of a start. Otherwise the next heartbeat suffices.
+     */
+    private fun needsCurrentToken(
         view: MachineView?,
         claim: Claim,
-    ): Boolean = view?.latestStatus == null || view.token < claim.version
+    ): Boolean {
+        if (view?.latestStatus == null) return true
+        if (view.token >= claim.version) return false
+        return !index.isConfirmed(view) || view.needsHigherToken || retention.isStartBlocked(view.id)
+    }
 
     private fun send(
         view: MachineView,
@@ -95,10 +113,10 @@
         starts: Set<AttemptId>,
         result: AgentProtocol.Result,
     ): Boolean {
-        if (result == AgentProtocol.Result.Unknown) {
-            starts.forEach(view::recordStartTimeout)
-        } else {
-            starts.forEach(view::recordStartResolved)
+        when (result) {
+            AgentProtocol.Result.Unknown -> starts.forEach(view::recordStartTimeout)
+            is AgentProtocol.Result.Executed -> starts.forEach(view::recordStartExecuted)
+            is AgentProtocol.Result.Refused, AgentProtocol.Result.NotSent -> starts.forEach(view::recordStartNotExecuted)
         }
         val report = statusIn(result)
         if (report != null) applyStatus(view, report)
@@ -203,6 +221,7 @@
         if (context.now < nextTickUs) return
         nextTickUs = context.now + TICK_INTERVAL
         commandPlanner.forgetObsoleteStops()
+        retention.tick()
         if (reachability.isIsolatedFromAgents) probeUncontrolled()
         confirmControlled()
     }
@@ -233,7 +252,7 @@
         machine: MachineId,
         view: MachineView?,
         claim: Claim,
-    ): Boolean = lacksCurrentToken(view, claim) && context.now >= (callsByMachine[machine]?.confirmAfterUs ?: 0)
+    ): Boolean = needsCurrentToken(view, claim) && context.now >= (callsByMachine[machine]?.confirmAfterUs ?: 0)
 
     /**
      * Probes a random machine of another controller. A controller that has lost control of all machines would otherwise never
--- a/src/main/kotlin/mintpick/engine/agents/CommandPlanner.kt
+++ b/src/main/kotlin/mintpick/engine/agents/CommandPlanner.kt
@@ -71,7 +71,8 @@
             context.metrics.recordWithheldStart(WithheldStart.RECORDS_TOO_OLD)
             return stopsOfCancelledTasks(view)
         }
-        return forgetsFor(view, claim) + stopsFor(view, claim) + startsFor(view, claim)
+        val forgotten = forgottenAttempts(view, claim)
+        return forgotten.map { command(Verb.REMOVE, it) } + stopsFor(view, claim) + startsFor(view, claim, forgotten)
     }
 
     /**
@@ -125,14 +126,14 @@
         attempt: AttemptId,
     ): Boolean = cache.tasksOn(view.id)[attempt.task] == attempt.attempt
 
-    private fun forgetsFor(
+    private fun forgottenAttempts(
         view: MachineView,
         claim: Claim,
-    ): List<Command> =
+    ): Set<AttemptId> =
         view.reportedAttempts
             .filter { (attempt, task) ->
                 task.state == TaskState.EXITED && !isPlacedOn(view, attempt) && view.mayForget(attempt, claim.version)
-            }.map { (attempt, _) -> command(Verb.REMOVE, attempt) }
+            }.mapTo(LinkedHashSet()) { (attempt, _) -> attempt }
 
     private fun stopsFor(
         view: MachineView,
@@ -184,19 +185,26 @@
     private fun startsFor(
         view: MachineView,
         claim: Claim,
-    ): List<Command> =
-        cache
-            .tasksOn(view.id)
-            .map { (task, attempt) -> AttemptId(task, attempt) }
-            .filter { view.taskReport(it) == null && mayStart(view, claim, it) }
-            .map { command(Verb.START, it) }
+        forgotten: Set<AttemptId>,
+    ): List<Command> {
+        val missing =
+            cache
+                .tasksOn(view.id)
+                .map { (task, attempt) -> AttemptId(task, attempt) }
+                .filter { view.taskReport(it) == null }
+        if (missing.isEmpty()) return emptyList()
+        val listedTasks = view.reportedAttempts.filter { it.key !in forgotten }.mapTo(HashSet()) { it.key.task }
+        return missing.filter { mayStart(view, claim, it, listedTasks) }.map { command(Verb.START, it) }
+    }
 
     private fun mayStart(
         view: MachineView,
         claim: Claim,
         attempt: AttemptId,
+        listedTasks: Set<TaskId>,
     ): Boolean {
-        val reason = reasonAgainstStart(view, claim, attempt) ?: return true
+        val reason = reasonAgainstStart(view, claim, attempt) ?: WithheldStart.EARLIER_ATTEMPT_LISTED.takeIf { attempt.task in listedTasks }
+        if (reason == null) return true
         context.metrics.recordWithheldStart(reason)
         return false
     }
--- a/src/main/kotlin/mintpick/engine/membership/MachineControl.kt
+++ b/src/main/kotlin/mintpick/engine/membership/MachineControl.kt
@@ -3,7 +3,6 @@
 import mintpick.core.MachineId
 import mintpick.core.Micros
 import mintpick.core.NodeId
-import mintpick.core.SECOND
 import mintpick.engine.runtime.EngineContext
 import mintpick.engine.state.StateStoreClient
 
@@ -58,12 +57,14 @@
     fun raiseToken(
         machine: MachineId,
         reason: String,
-    ) {
+        minIntervalUs: Micros,
+    ): Boolean {
         val target = directory.controlTarget(machine)
-        if (target == null || !directory.isOwn(directory.controlClaim(machine))) return
-        if (context.now - (lastRaiseUs[target.key] ?: -MIN_RAISE_INTERVAL) < MIN_RAISE_INTERVAL) return
+        if (target == null || !directory.isOwn(directory.controlClaim(machine))) return false
+        if (context.now - (lastRaiseUs[target.key] ?: -minIntervalUs) < minIntervalUs) return false
         lastRaiseUs[target.key] = context.now
         writer.claim(listOf(target), reason)
+        return true
     }
 
     /** See [ShardClaims.borrow]. */
@@ -93,9 +94,4 @@
     }
 
     private fun borrowTarget(machine: MachineId) = ClaimTarget.Borrow(machine, cache.borrows[machine]?.version ?: 0)
-
-    private companion object {
-        /** Shortest time between two raises of the same token. */
-        const val MIN_RAISE_INTERVAL: Micros = 2 * SECOND
-    }
 }
--- a/src/main/kotlin/mintpick/engine/membership/ShardClaims.kt
+++ b/src/main/kotlin/mintpick/engine/membership/ShardClaims.kt
@@ -113,11 +113,15 @@
         then: () -> Unit,
     ) = machineControl.takeOver(machine, wholeShard, from, reason, then)
 
-    /** Rewrites the claim that controls [machine], which raises its fencing token above the tokens of all earlier commands. */
+    /**
+     * Rewrites the claim that controls [machine], which raises its fencing token above the tokens of all earlier commands. Does
+     * nothing and returns false if it is not this controller's claim, or was rewritten for this purpose within [minIntervalUs].
+     */
     fun raiseToken(
         machine: MachineId,
         reason: String,
-    ) = machineControl.raiseToken(machine, reason)
+        minIntervalUs: Micros = MIN_RAISE_INTERVAL,
+    ): Boolean = machineControl.raiseToken(machine, reason, minIntervalUs)
 
     /**
      * Borrows machines from the owners of their shards. The same transaction raises the epochs of these shards, so that
@@ -138,6 +142,9 @@
         const val PARTITIONS = 12
         private const val TICK_INTERVAL: Micros = 100 * MILLI
 
+        /** Shortest time between two raises of the same token. */
+        const val MIN_RAISE_INTERVAL: Micros = 2 * SECOND
+
         /** Time within which an agent that other controllers have redirected reaches the one that commands it. */
         private const val AGENT_REDIRECT_PERIOD: Micros = 10 * SECOND
     }
--- a/src/main/kotlin/mintpick/engine/runtime/EngineMetrics.kt
+++ b/src/main/kotlin/mintpick/engine/runtime/EngineMetrics.kt
@@ -53,6 +53,9 @@
 
     /** The records may be older than the claim that gives control of the machine. */
     RECORDS_TOO_OLD,
+
+    /** The agent still lists another attempt of the task, and could refuse the start for that. */
+    EARLIER_ATTEMPT_LISTED,
 }
 
 /**
@@ -71,6 +74,8 @@
     private val withheldStarts = EnumMap<WithheldStart, Long>(WithheldStart::class.java)
     private var otherTokens = 0L
     private var unprovenExpiries = 0L
+    private var mostRetainedAttempts = 0
+    private var unexplainedAttempts = 0L
 
     /** Records the end of a read that took [durationUs]. */
     fun recordRead(
@@ -103,16 +108,30 @@
         unprovenExpiries++
     }
 
+    /** Records that [count] ended attempts on one machine may not be forgotten yet. */
+    fun recordRetainedAttempts(count: Int) {
+        mostRetainedAttempts = maxOf(mostRetainedAttempts, count)
+    }
+
+    /** Records [count] attempts that an agent has started although no start of this controller explains them. */
+    fun recordUnexplainedAttempts(count: Int) {
+        unexplainedAttempts += count
+    }
+
     /** Returns a line for the log with the values since the last call, and resets them. */
     fun takeReport(): String {
         val readTexts = reads.map { (kind, it) -> "${kind.label()}=${it.served}/${it.failed} longest_ms=${it.longestUs / MILLI}" }
         val answers = "heartbeats ${textOf(heartbeats)} withheld_starts ${textOf(withheldStarts)}"
-        val report = "reads ${readTexts.joinToString(" ")} $answers other_tokens=$otherTokens unproven_expiries=$unprovenExpiries"
+        val report =
+            "reads ${readTexts.joinToString(" ")} $answers other_tokens=$otherTokens unproven_expiries=$unprovenExpiries " +
+                "most_retained_attempts=$mostRetainedAttempts unexplained_attempts=$unexplainedAttempts"
         reads.clear()
         heartbeats.clear()
         withheldStarts.clear()
         otherTokens = 0
         unprovenExpiries = 0
+        mostRetainedAttempts = 0
+        unexplainedAttempts = 0
         return report
     }
 
--- a/src/main/kotlin/mintpick/engine/scheduling/JobPlacer.kt
+++ b/src/main/kotlin/mintpick/engine/scheduling/JobPlacer.kt
@@ -108,6 +108,7 @@
                 limit,
                 pass.isOverloaded,
                 excludedMachines = excludedMachines(job),
+                blockedTasks = agents.retainedTasksOf(job.id),
                 spotOnly = isSpotOnly(job),
             )
         return placer.place(request, candidates)
@@ -192,6 +193,7 @@
                 maxTasks = 1,
                 pass.isOverloaded,
                 excludedMachines = excludedMachines(job),
+                blockedTasks = agents.retainedTasksOf(job.id),
             )
         val found = placer.place(request, candidates)
         return found.any { (_, machine) -> isReadyForTasks(machine, candidates) }
--- a/src/test/kotlin/mintpick/core/MachineViewTest.kt
+++ b/src/test/kotlin/mintpick/core/MachineViewTest.kt
@@ -143,7 +143,7 @@
         view.recordStartSent(attempt, 5, 1)
         view.recordStartTimeout(attempt)
         view.recordStartSent(attempt, 5, 1)
-        view.recordStartResolved(attempt)
+        view.recordStartExecuted(attempt)
         view.applyStatus(status(2, 5, 1, exited(ExitCause.STOPPED)), 2, isDirectAnswer = true)
         assertFalse(view.mayForget(attempt, 5))
         assertTrue(view.needsHigherToken)
--- a/src/test/kotlin/mintpick/core/PlacerTest.kt
+++ b/src/test/kotlin/mintpick/core/PlacerTest.kt
@@ -53,6 +53,25 @@
         }
     }
 
+    @Test
+    fun `a task goes where an earlier attempt of it is in the way only if nothing else is possible`() {
+        val total = Resources(4.0, 0.0, 16.0)
+        val machines = listOf("m1", "m2").map { CandidateMachine(MachineId(it), "small", "north", false, total, total, { false }, true) }
+        val blocked = mapOf(MachineId("m1") to setOf(0))
+
+        fun place(
+            tasks: List<Int>,
+            on: List<CandidateMachine>,
+        ): List<PlacedTask> {
+            val request = PlacementRequest(SampleJobs.spec(tasks = 2), tasks.asSequence(), emptyMap(), 100, blockedTasks = blocked)
+            return Placer(SplittableRandom(1), 8).place(request, Candidates.of(on))
+        }
+        assertEquals(listOf(PlacedTask(0, MachineId("m2"))), place(listOf(0), machines))
+        assertEquals(listOf(PlacedTask(0, MachineId("m1"))), place(listOf(0), machines.take(1)))
+        assertEquals(setOf(0, 1), place(listOf(0, 1), machines.take(1)).map { it.task }.toSet())
+        assertEquals(listOf(PlacedTask(1, MachineId("m1"))), place(listOf(0, 1), listOf(machines[0].copy(free = Resources(2.0, 0.0, 6.0)))))
+    }
+
     @Test
     fun `the offer with the lowest cost per task is rented for tasks without free capacity`() {
         val types =
--- a/src/test/kotlin/mintpick/soak/SoakFaults.kt
+++ b/src/test/kotlin/mintpick/soak/SoakFaults.kt
@@ -23,6 +23,7 @@
     val agents: StandInAgents,
     val cloud: StandInCloud,
     val timer: ScheduledExecutorService,
+    val repeats: RepeatedExecutions,
     val setStateUnavailable: (Boolean) -> Unit,
 )
 
@@ -112,10 +113,24 @@
                         false
                 })
             14 -> ScheduledFault(atUs, durationUs, "machines hang", { targets.agents.hang(HANGING_MACHINES, durationUs) }, { })
+            15 -> ScheduledFault(atUs, durationUs, "requests executed again", { targets.repeats.rate = 250 }, { targets.repeats.rate = 0 })
+            16 -> returnsWithRepeats(atUs, controller)
             else -> changesOfLeader(atUs)
         }
     }
 
+    /** [controller] is back within a moment, while requests that were answered before are executed again. */
+    private fun returnsWithRepeats(
+        atUs: Micros,
+        controller: ControllerProcess,
+    ): ScheduledFault {
+        val name = "${controller.node} is back within a moment, and requests are executed again"
+        return ScheduledFault(atUs, random.nextLong(SECOND), name, { controller.kill() }, {
+            controller.start()
+            targets.repeats.repeatLatest(REPEATED_SHARE)
+        })
+    }
+
     /** Each controller ends in turn and is back within a moment, twice. */
     private fun changesOfLeader(atUs: Micros): ScheduledFault {
         val series = controllers + controllers
@@ -130,7 +145,10 @@
     }
 
     private companion object {
-        const val KINDS = 16
+        const val KINDS = 18
+
+        /** Thousandths of the latest requests that are executed again as a controller returns. */
+        const val REPEATED_SHARE = 250
         const val HANGING_MACHINES = 6
     }
 }
--- a/src/test/kotlin/mintpick/soak/SoakRun.kt
+++ b/src/test/kotlin/mintpick/soak/SoakRun.kt
@@ -45,6 +45,7 @@
     val longestUnansweredUs: Micros,
     val mostSockets: Int,
     val removals: Map<String, Int>,
+    val repeatedRequests: Int,
     val logs: String,
 ) {
     val hasFailed: Boolean get() = breaches.isNotEmpty() || unanswered.isNotEmpty() || starts == 0
@@ -52,7 +53,8 @@
     override fun toString() =
         "seed $seed: breaches $breaches, unanswered ${unanswered.take(3)}, $starts starts on $machines machines, answers $answers, " +
             "longest ${longestUnansweredUs / SECOND} s without an answer, over ${quietForUs / SECOND} s after the last fault, " +
-            "at most $mostSockets sockets, removals by the load balancer $removals, logs in $logs, faults:\n  ${schedule.joinToString(
+            "at most $mostSockets sockets, removals by the load balancer $removals, " +
+            "$repeatedRequests requests executed again, logs in $logs, faults:\n  ${schedule.joinToString(
                 "\n  ",
             )}"
 }
@@ -78,6 +80,7 @@
     private val rules = RuleChecker(size.settings.cancelUs, mapOf("red" to SoakSettings.RED_CPUS_MAX))
     private val controllers = CopyOnWriteArrayList<ControllerProcess>()
     private val sockets = SocketClient(timer) { address -> controllers.none { it.apiAddress == address && !it.hasFreeSocket } }
+    private val repeats = RepeatedExecutions(timer, random.split())
     private var longestUnansweredUs: Micros = 0
     private var mostSockets = 0
 
@@ -85,9 +88,9 @@
 
     /** Plays the run and ends all its processes. */
     fun play(): SoakResult {
-        val agents = StandInAgents(controllers, sockets, size.settings, lock, timer, random.split(), ::nowUs, this)
-        val cloud = StandInCloud(size.machines, agents, timer, random.split(), ::nowUs)
-        val state = StandInStateStore(store, lock, timer, random.split(), ::nowUs) { controllers[it].faults }
+        val agents = StandInAgents(controllers, sockets, size.settings, lock, timer, random.split(), ::nowUs, this, repeats)
+        val cloud = StandInCloud(size.machines, agents, timer, random.split(), ::nowUs, repeats)
+        val state = StandInStateStore(store, lock, timer, random.split(), ::nowUs, repeats) { controllers[it].faults }
         val endAll = Thread { controllers.forEach { it.kill() } }
         Runtime.getRuntime().addShutdownHook(endAll)
         try {
@@ -130,7 +133,7 @@
         socketCounter.start()
         submitJobs(users)
         awaitFirstStarts(agents)
-        val targets = SoakTargets(controllers, agents, cloud, timer) { synchronized(lock) { store.unavailable = it } }
+        val targets = SoakTargets(controllers, agents, cloud, timer, repeats) { synchronized(lock) { store.unavailable = it } }
         val schedule = faultsOf(targets, random.split())
         for (fault in schedule) {
             timer.after(fault.atUs) { fault.begin() }
@@ -161,6 +164,7 @@
                 longestUnansweredUs,
                 mostSockets,
                 loadBalancer.removals,
+                repeats.count,
                 "$directory",
             )
         }
@@ -228,6 +232,7 @@
             it.start()
         }
         targets.agents.lateCopies = 0
+        targets.repeats.rate = 0
         targets.cloud.isUnavailable = false
         targets.setStateUnavailable(false)
     }
@@ -262,6 +267,16 @@
         token: Long,
     ) = synchronized(lock) { rules.tokenRaised(machine.id, token, store.version(Keys.borrow(machine.id))) }
 
+    override fun removedTooEarly(
+        machine: SimulatedAgent,
+        task: String,
+    ) = synchronized(lock) { rules.removedTooEarly(machine.id, task, nowUs()) }
+
+    override fun refusedAsBusy(
+        machine: SimulatedAgent,
+        task: String,
+    ) = synchronized(lock) { rules.refusedAsBusy(machine.id, task, nowUs()) }
+
     override fun runTimeUs(task: String): Micros? {
         val spec = synchronized(lock) { rules.spec(task.substringBeforeLast('/')) } ?: return null
         return if (spec.estimateS == 0.0) null else (spec.estimateS * SECOND).toLong()
--- a/src/test/kotlin/mintpick/soak/StandInAgents.kt
+++ b/src/test/kotlin/mintpick/soak/StandInAgents.kt
@@ -29,6 +29,7 @@
     private val random: SplittableRandom,
     private val nowUs: () -> Micros,
     private val watcher: TaskWatcher,
+    private val repeats: RepeatedExecutions,
 ) : MachineHost,
     AutoCloseable {
     private inner class Machine(
@@ -194,11 +195,21 @@
                 timer.after(random.seconds(2, 8)) { execute(machine, batch) }
                 timer.after(HEARTBEAT_TIMEOUT) { request.drop() }
             }
-            hangingUs > 0 -> timer.after(hangingUs) { reply(request, execute(machine, batch)) }
-            else -> reply(request, execute(machine, batch))
+            hangingUs > 0 -> timer.after(hangingUs) { executeAndReply(machine, batch, request) }
+            else -> executeAndReply(machine, batch, request)
         }
     }
 
+    private fun executeAndReply(
+        machine: Machine,
+        batch: CommandBatch,
+        request: StandInRequest,
+    ) {
+        val result = execute(machine, batch)
+        reply(request, result)
+        if (result.first == OK) repeats.onAnswered { execute(machine, batch) }
+    }
+
     private fun reply(
         request: StandInRequest,
         result: Pair<Int, MachineReport>,
--- a/src/test/kotlin/mintpick/soak/StandInCloud.kt
+++ b/src/test/kotlin/mintpick/soak/StandInCloud.kt
@@ -32,6 +32,7 @@
     private val timer: ScheduledExecutorService,
     private val random: SplittableRandom,
     private val nowUs: () -> Micros,
+    private val repeats: RepeatedExecutions,
 ) : AutoCloseable {
     private class Machine(
         val request: RentalRequest,
@@ -83,17 +84,25 @@
 
     private fun release(request: StandInRequest) {
         val names = WireJson.decodeFromString(MachineNames.serializer(), request.body).machines
+        remove(names)
+        request.reply(OK, "{}")
+        repeats.onAnswered { remove(names) }
+    }
+
+    private fun remove(names: List<String>) {
         synchronized(this) { names.forEach(machines::remove) }
         names.forEach(host::remove)
-        request.reply(OK, "{}")
     }
 
     private fun rent(request: StandInRequest) {
         val rental = WireJson.decodeFromString(RentalRequest.serializer(), request.body)
-        val names = synchronized(this) { machinesByRequest.getOrPut(rental.request) { newMachines(rental) } }
-        request.reply(OK, WireJson.encodeToString(MachineNames.serializer(), MachineNames(names)))
+        request.reply(OK, WireJson.encodeToString(MachineNames.serializer(), MachineNames(machinesFor(rental))))
+        repeats.onAnswered { machinesFor(rental) }
     }
 
+    private fun machinesFor(rental: RentalRequest): List<String> =
+        synchronized(this) { machinesByRequest.getOrPut(rental.request) { newMachines(rental) } }
+
     private fun newMachines(rental: RentalRequest): List<String> {
         val count = minOf(rental.count, maxMachines - machines.size).coerceAtLeast(0)
         return List(count) {
--- a/src/test/kotlin/mintpick/soak/StandInStateStore.kt
+++ b/src/test/kotlin/mintpick/soak/StandInStateStore.kt
@@ -16,6 +16,7 @@
     private val timer: ScheduledExecutorService,
     private val random: SplittableRandom,
     private val nowUs: () -> Micros,
+    private val repeats: RepeatedExecutions,
     private val faultsOf: (Int) -> ControllerFaults,
 ) : AutoCloseable {
     private val servers = ArrayList<StandInServer>()
@@ -48,8 +49,11 @@
 
     private fun isWatch(request: StandInRequest): Boolean = request.path.startsWith("/follow") && !request.path.endsWith("wait_ms=0")
 
+    private fun executeUnanswered(request: StandInRequest) =
+        synchronized(lock) { store.request(nowUs(), request.method, request.path, request.body) { } }
+
     private fun executeLate(request: StandInRequest) {
-        timer.after(random.seconds(2, 6)) { synchronized(lock) { store.request(nowUs(), request.method, request.path, request.body) { } } }
+        timer.after(random.seconds(2, 6)) { executeUnanswered(request) }
         timer.after(HANGING_TIME) { request.drop() }
     }
 
@@ -58,6 +62,7 @@
         request: StandInRequest,
     ) = synchronized(lock) {
         store.request(nowUs(), request.method, request.path, request.body) { answer ->
+            if (request.method != "GET" && answer.status == OK) repeats.onAnswered { executeUnanswered(request) }
             when {
                 random.occurs(faults.lostAnswers) -> timer.after(HANGING_TIME) { request.drop() }
                 else -> timer.after(faults.stateDelayUs) { request.reply(answer.status, answer.body) }
@@ -68,6 +73,7 @@
     override fun close() = servers.forEach { it.close() }
 
     private companion object {
+        const val OK = 200
         const val REFUSED = 503
         const val TICK: Micros = 20 * MILLI
         const val WATCH_RETRY: Micros = 200 * MILLI
--- a/src/test/kotlin/mintpick/testing/FaultPoint.kt
+++ b/src/test/kotlin/mintpick/testing/FaultPoint.kt
@@ -35,6 +35,19 @@
         delayReads { it !== actor }
         after(READ_LATE_SPAN) { state.unavailable = true }
     }),
+
+    /** Every request that is answered from now on is executed once more, from a moment to minutes later. */
+    REQUESTS_EXECUTED_AGAIN({ _, _ -> repeatedRequests.rate = EVERY_REQUEST }),
+
+    /** The actor is back within a moment, while its requests of the last minutes are executed once more. */
+    ACTOR_RESTARTED_REQUESTS_EXECUTED_AGAIN({ actor, _ ->
+        repeatedRequests.returnRate = EVERY_REQUEST
+        actor.crash(RESTART_TIME)
+    }),
+    ;
+
+    /** Whether requests that were carried out and answered are executed again. */
+    val repeatsRequests: Boolean get() = this == REQUESTS_EXECUTED_AGAIN || this == ACTOR_RESTARTED_REQUESTS_EXECUTED_AGAIN
 }
 
 private fun SimulatedCluster.delayReads(isLate: (SimulatedCluster.Node) -> Boolean) {
@@ -47,6 +60,8 @@
 private fun SimulatedCluster.endFaults() {
     state.unavailable = false
     answerDelay = { _, _ -> 0 }
+    repeatedRequests.rate = 0
+    repeatedRequests.returnRate = 0
     for (node in nodes) {
         node.cutFromState = false
         node.cutFromAgents = false
@@ -66,10 +81,13 @@
     override fun toString() = "pair $number: $followUp ${if (isBefore) "before" else "after"} $kind"
 
     companion object {
-        /** All pairs. An answer can be lost only after its commit, and a transaction held up only before. */
-        val ALL: List<FaultPoint> =
+        /** All pairs; those with repeated requests come last, so that the others keep their numbers. */
+        val ALL: List<FaultPoint> = FollowUp.entries.partition { !it.repeatsRequests }.let { (first, last) -> pairs(first) + pairs(last) }
+
+        /** An answer can be lost only after its commit, and a transaction held up only before. */
+        private fun pairs(followUps: List<FollowUp>): List<FaultPoint> =
             CommitKind.entries.flatMap { kind ->
-                FollowUp.entries.flatMap { followUp ->
+                followUps.flatMap { followUp ->
                     val moments =
                         when (followUp) {
                             FollowUp.ANSWER_LOST -> listOf(false)
@@ -137,6 +155,7 @@
 ): FaultPointResult {
     val size = ClusterSize(machines = MACHINES, spotMachines = 0, controllers = controllers)
     val cluster = SimulatedCluster(seed, FaultRates(), size) { Settings.parse(SampleJobs.toml(it, controllers = controllers)) }
+    cluster.repeatedRequests.keepsRequests = true
     submitWork(cluster)
     val injector = FaultInjector(cluster, point, occurrence = 1 + Math.floorMod(seed - 1, OCCURRENCES))
     cluster.after(ARMED_FROM) {
@@ -206,6 +225,9 @@
 /** Longer than a lease with its margins. */
 private const val FAULT_SPAN = 22 * SECOND
 private const val RESTART_TIME = SECOND / 3
+
+/** In thousandths. */
+private const val EVERY_REQUEST = 1000
 private const val READ_DELAY = 5 * SECOND
 private const val READ_LATE_SPAN = 3 * SECOND / 2
 private const val APPLY_DELAY = 4 * SECOND
--- a/src/test/kotlin/mintpick/testing/Faults.kt
+++ b/src/test/kotlin/mintpick/testing/Faults.kt
@@ -129,6 +129,16 @@
             messageDelays.replayRate = 200
             after(duration) { messageDelays.replayRate = 0 }
         },
+        Fault("requests executed again") { duration ->
+            repeatedRequests.rate = 250
+            after(duration) { repeatedRequests.rate = 0 }
+        },
+        Fault("requests executed again when their senders or receivers return") { duration ->
+            repeatedRequests.returnRate = 250
+            after(duration / 3) { randomNode().crash(random.nextLong(SECOND / 2)) }
+            after(duration / 2) { randomAgents(4).forEach { hangForAMoment(it) } }
+            after(duration) { repeatedRequests.returnRate = 0 }
+        },
         Fault("jobs cancelled at once") { userFaults.cancelNow(count = 5, hangUs = 0) },
         Fault("jobs cancelled at once on machines that hang") { duration -> userFaults.cancelNow(count = 5, hangUs = duration / 2) },
         Fault("jobs cancelled at their end") { duration ->
@@ -141,6 +151,11 @@
         },
     )
 
+private fun SimulatedCluster.hangForAMoment(agent: SimulatedAgent) {
+    agent.hangingUntilUs = now + random.nextLong(SECOND / 2)
+    after(agent.hangingUntilUs - now) { repeatedRequests.onReturn(agent.address) }
+}
+
 private fun SimulatedCluster.loseTransactions(
     duration: Micros,
     immediately: Boolean,
--- a/src/test/kotlin/mintpick/testing/RuleChecker.kt
+++ b/src/test/kotlin/mintpick/testing/RuleChecker.kt
@@ -203,6 +203,27 @@
         if (borrowedVersion in 1 until token) breaches += "two_tokens: $machine accepted $token while borrowed with $borrowedVersion"
     }
 
+    /** Whether attempts that agents may start again must not be removed; the version in production removes them. */
+    var checksRemovals = true
+
+    /** The agent of [machine] had to remove an attempt of [task], of which a direct start would still be executed. */
+    fun removedTooEarly(
+        machine: String,
+        task: String,
+        now: Micros,
+    ) {
+        if (checksRemovals) breaches += "removed_too_early: $task on $machine at $now"
+    }
+
+    /** The agent of [machine] refused a start of [task], because it lists another attempt. */
+    fun refusedAsBusy(
+        machine: String,
+        task: String,
+        now: Micros,
+    ) {
+        if (checksRemovals) breaches += "started_too_early: $task on $machine at $now"
+    }
+
     fun cancelRequested(job: String) {
         cancelRequests += job
     }
--- a/src/test/kotlin/mintpick/testing/SimulatedAgent.kt
+++ b/src/test/kotlin/mintpick/testing/SimulatedAgent.kt
@@ -30,6 +30,24 @@
         token: Long,
     )
 
+    /** The agent of [machine] was told to remove an attempt of [task], and would execute a direct start of it again. */
+    fun removedTooEarly(
+        machine: SimulatedAgent,
+        task: String,
+    ) = Unit
+
+    /** The agent of [machine] has refused a start of [task], because it still lists another attempt. */
+    fun refusedAsBusy(
+        machine: SimulatedAgent,
+        task: String,
+    ) = Unit
+
+    /** Why the agent of [machine] refuses a start of [task]; null: it accepts it. */
+    fun refusal(
+        machine: SimulatedAgent,
+        task: String,
+    ): ExitCause? = null
+
     /** Run time of [task]; null: it runs until stopped. */
     fun runTimeUs(task: String): Micros?
 
@@ -51,11 +69,21 @@
     private val watcher: TaskWatcher,
     now: Micros,
 ) {
-    private class Task(
-        val attempt: Int,
+    /** An attempt of [task] in the agent's list. */
+    private class Attempt(
+        val task: String,
+        val number: Int,
         var state: TaskState,
         var cause: ExitCause?,
         var untilUs: Micros,
+    ) {
+        val isAssigned: Boolean get() = state != TaskState.EXITED
+    }
+
+    /** Name of a task and number of its attempt. */
+    private data class AttemptName(
+        val task: String,
+        val number: Int,
     )
 
     var agentEpoch = 1L
@@ -63,7 +91,12 @@
     private var sequence = 0L
     private var token = 0L
     private var leaseStartUs = now
-    private val tasks = LinkedHashMap<String, Task>()
+
+    /** Every attempt stays listed until a command removes it; a task may have several ended ones. */
+    private val attempts = LinkedHashMap<AttemptName, Attempt>()
+
+    /** Highest token of the direct commands in which each attempt was started in this epoch; such a start may be executed again. */
+    private val directStarts = HashMap<AttemptName, Long>()
 
     /** Until then the agent sends no heartbeats, executes no commands and completes no tasks, but its lease still expires. */
     var hangingUntilUs: Micros = 0
@@ -86,8 +119,16 @@
     /** Tasks with a stored result. If started again, they are done as soon as the image is fetched. */
     private val completedTasks = HashSet<String>()
 
+    /** Jobs whose image is on the machine, so that their tasks start at once. */
+    private val jobsWithImage = HashSet<String>()
+
+    private fun jobOf(task: String): String = task.substringBeforeLast('/')
+
     /** Tasks that are running or fetching their image. */
-    fun assignedTasks(): Set<String> = tasks.filterValues { it.state != TaskState.EXITED }.keys
+    fun assignedTasks(): Set<String> = attempts.values.filter { it.isAssigned }.mapTo(LinkedHashSet()) { it.task }
+
+    /** All attempts in its list, as in its next heartbeat. */
+    fun listedAttempts(): List<TaskReport> = attempts.values.map { TaskReport(it.task, it.number, it.state, it.cause) }
 
     fun recordMissedStarts(
         commands: List<Command>,
@@ -104,19 +145,26 @@
             changed = true
         }
         if (now < hangingUntilUs) return
-        for ((name, task) in tasks) {
-            if (task.state == TaskState.FETCHING && now >= task.untilUs) {
-                task.state = TaskState.RUNNING
-                task.untilUs = watcher.runTimeUs(name)?.let { now + it } ?: Long.MAX_VALUE
-                if (watcher.fails(this, name)) task.untilUs = now + FAILURE_DELAY
-                if (name in completedTasks) task.untilUs = now
-                changed = true
-                watcher.started(this, name, now)
-            } else if (task.state == TaskState.RUNNING && now >= task.untilUs) {
-                val fails = watcher.fails(this, name)
-                if (!fails) completedTasks += name
-                exit(name, task, if (fails) ExitCause.ERROR else ExitCause.DONE, now)
-            }
+        attempts.values.forEach { advance(it, now) }
+    }
+
+    private fun advance(
+        attempt: Attempt,
+        now: Micros,
+    ) {
+        val name = attempt.task
+        if (attempt.state == TaskState.FETCHING && now >= attempt.untilUs) {
+            attempt.state = TaskState.RUNNING
+            jobsWithImage += jobOf(name)
+            attempt.untilUs = watcher.runTimeUs(name)?.let { now + it } ?: Long.MAX_VALUE
+            if (watcher.fails(this, name)) attempt.untilUs = now + FAILURE_DELAY
+            if (name in completedTasks) attempt.untilUs = now
+            changed = true
+            watcher.started(this, name, now)
+        } else if (attempt.state == TaskState.RUNNING && now >= attempt.untilUs) {
+            val fails = watcher.fails(this, name)
+            if (!fails) completedTasks += name
+            exit(attempt, if (fails) ExitCause.ERROR else ExitCause.DONE, now)
         }
     }
 
@@ -125,26 +173,26 @@
         name: String,
         now: Micros,
     ) {
-        tasks.getValue(name).untilUs = now
+        attempts.values.first { it.task == name && it.isAssigned }.untilUs = now
     }
 
     private fun exit(
-        name: String,
-        task: Task,
+        attempt: Attempt,
         cause: ExitCause,
         now: Micros,
     ) {
-        val wasRunning = task.state == TaskState.RUNNING
-        task.state = TaskState.EXITED
-        task.cause = cause
+        val wasRunning = attempt.state == TaskState.RUNNING
+        attempt.state = TaskState.EXITED
+        attempt.cause = cause
         changed = true
-        if (wasRunning) watcher.ended(this, name, cause == ExitCause.DONE, now)
+        if (wasRunning) watcher.ended(this, attempt.task, cause == ExitCause.DONE, now)
     }
 
     /** Ends all tasks without a result. */
     fun kill(now: Micros) {
-        for ((name, task) in tasks) if (task.state == TaskState.RUNNING) watcher.ended(this, name, false, now)
-        tasks.clear()
+        attempts.values.filter { it.state == TaskState.RUNNING }.forEach { watcher.ended(this, it.task, false, now) }
+        attempts.clear()
+        directStarts.clear()
     }
 
     fun heartbeat(now: Micros): MachineReport {
@@ -159,7 +207,7 @@
             ++sequence,
             token,
             noticeUs?.let { (it - now).toDouble() / SECOND },
-            tasks.map { (name, t) -> TaskReport(name, t.attempt, t.state, t.cause) },
+            listedAttempts(),
         )
     }
 
@@ -186,6 +234,7 @@
     ): Pair<Int, MachineReport> {
         if (batchToken < token || batchEpoch != agentEpoch) return 409 to heartbeat(now)
         raiseToken(batchToken)
+        commands.filter { it.verb == Verb.START }.forEach { directStarts[AttemptName(it.task, it.attempt)] = batchToken }
         commands.forEach { execute(it, now) }
         return 200 to heartbeat(now)
     }
@@ -202,27 +251,36 @@
         command: Command,
         now: Micros,
     ) {
-        val task = tasks[command.task]
+        val name = AttemptName(command.task, command.attempt)
+        val attempt = attempts[name]
         when (command.verb) {
-            Verb.START ->
-                when {
-                    task == null || (task.state == TaskState.EXITED && task.attempt != command.attempt) -> {
-                        tasks[command.task] = Task(command.attempt, TaskState.FETCHING, null, now + FETCH_TIME)
-                        changed = true
-                    }
-                    else -> Unit
-                }
-            Verb.STOP ->
-                if (task != null &&
-                    task.attempt == command.attempt &&
-                    task.state != TaskState.EXITED
-                ) {
-                    exit(command.task, task, ExitCause.STOPPED, now)
-                }
-            Verb.REMOVE -> if (task?.state == TaskState.EXITED && task.attempt == command.attempt) tasks.remove(command.task)
+            Verb.START -> if (attempt == null) start(name, now)
+            Verb.STOP -> if (attempt != null && attempt.isAssigned) exit(attempt, ExitCause.STOPPED, now)
+            Verb.REMOVE -> if (attempt != null && !attempt.isAssigned) remove(name)
         }
     }
 
+    /** Refuses the start as the protocol allows it: also if an attempt of the task has ended and is still listed. */
+    private fun start(
+        name: AttemptName,
+        now: Micros,
+    ) {
+        val isBusy = attempts.values.any { it.task == name.task }
+        val refusal = if (isBusy) ExitCause.BUSY else watcher.refusal(this, name.task)
+        val state = if (refusal == null) TaskState.FETCHING else TaskState.EXITED
+        val fetchTime = if (jobOf(name.task) in jobsWithImage) 0 else FETCH_TIME
+        attempts[name] = Attempt(name.task, name.number, state, refusal, now + fetchTime)
+        changed = true
+        if (isBusy) watcher.refusedAsBusy(this, name.task)
+    }
+
+    private fun remove(name: AttemptName) {
+        attempts.remove(name)
+        changed = true
+        val startToken = directStarts[name] ?: return
+        if (startToken >= token) watcher.removedTooEarly(this, name.task)
+    }
+
     private companion object {
         const val FETCH_TIME: Micros = SECOND
         const val FAILURE_DELAY: Micros = SECOND
--- a/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
+++ b/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
@@ -15,6 +15,7 @@
 import mintpick.net.Target
 import mintpick.store.Keys
 import mintpick.wire.CommandBatch
+import mintpick.wire.ExitCause
 import mintpick.wire.JobSpec
 import mintpick.wire.MachineReport
 import mintpick.wire.PeerHint
@@ -101,7 +102,10 @@
             discardedByEarlier = discardedEffects
             engine = null
             process = null
-            after(downUs) { if (engine == null) start() }
+            after(downUs) {
+                if (engine == null) start()
+                repeatedRequests.onReturn(this, downUs)
+            }
         }
 
         private fun stepLoop(ownIncarnation: Int) {
@@ -185,6 +189,9 @@
     /** Whether a task fails when run on the given machine. */
     var taskFails: (SimulatedAgent, String) -> Boolean = { _, _ -> false }
 
+    /** Why a start is refused by the agent of the given machine; null: it is not. */
+    var startRefusal: (SimulatedAgent, String) -> ExitCause? = { _, _ -> null }
+
     /** Run times of tasks that differ from the estimate of their job. */
     val runTimes = HashMap<String, Micros>()
 
@@ -197,6 +204,7 @@
             nodes[0].settings.teams.associate { it.name to it.cpusMax },
         )
     val messageDelays = MessageDelays(this)
+    val repeatedRequests = RepeatedRequests(this) { call, reply -> deliverCall(call, reply) { } }
     private val users = SimulatedUsers(this)
     private val heartbeats = AgentHeartbeats(this, faultRates)
 
@@ -268,6 +276,7 @@
         val travel = (messageDelays.commandTravelUs(from, call) ?: usual) + linkDelay(from, call)
         val reply: (Int, ByteArray) -> Unit = { status, body ->
             messageDelays.commandAnswered(call, status)
+            repeatedRequests.onAnswered(from, call, status)
             if (!occurs(faultRates.lostAnswer)) after(networkDelay() + answerDelay(from, call)) { complete(Outcome.Answered(status, body)) }
         }
         val arrival: ((Int, ByteArray) -> Unit) -> Unit = { answered -> deliverCall(call, answered) { complete(Outcome.NotSent) } }
@@ -402,6 +411,21 @@
         token: Long,
     ) = rules.tokenRaised(machine.id, token, state.version(Keys.borrow(machine.id)))
 
+    override fun removedTooEarly(
+        machine: SimulatedAgent,
+        task: String,
+    ) = rules.removedTooEarly(machine.id, task, now)
+
+    override fun refusedAsBusy(
+        machine: SimulatedAgent,
+        task: String,
+    ) = rules.refusedAsBusy(machine.id, task, now)
+
+    override fun refusal(
+        machine: SimulatedAgent,
+        task: String,
+    ): ExitCause? = startRefusal(machine, task)
+
     override fun runTimeUs(task: String): Micros? {
         runTimes[task]?.let { return it }
         val spec = rules.spec(task.substringBeforeLast('/')) ?: return null
--- a/src/test/kotlin/mintpick/upgrade/MixedClaimsTest.kt
+++ b/src/test/kotlin/mintpick/upgrade/MixedClaimsTest.kt
@@ -36,6 +36,7 @@
         present: Set<Int>,
     ): MixedDay {
         val day = BorrowBeforeOutage(seed, endingClaim)
+        day.cluster.rules.checksRemovals = false
         day.cluster.controllerFactory = { node ->
             val random = day.cluster.random.split()
             if (node.index in present) {
--- a/src/test/kotlin/mintpick/upgrade/RollingUpgrade.kt
+++ b/src/test/kotlin/mintpick/upgrade/RollingUpgrade.kt
@@ -29,6 +29,7 @@
     private val upgradedNodes = HashSet<Int>()
 
     init {
+        cluster.rules.checksRemovals = false
         cluster.controllerFactory = { node ->
             if (node.index in upgradedNodes) {
                 presentController(cluster, node)
@@ -42,9 +43,13 @@
     fun upgradeNode(index: Int) {
         upgradedNodes += index
         cluster.nodes[index].crash(3 * SECOND)
+        if (upgradedNodes.size == cluster.nodes.size) cluster.after(LATEST_COMMAND) { cluster.rules.checksRemovals = true }
     }
 
     companion object {
+        /** After this time no command of a process that was replaced arrives for the first time any more. */
+        private const val LATEST_COMMAND = 25 * SECOND
+
         /** State store limits that apply after the upgrade. */
         val LOWERED_LIMITS = SimulatedStateStore.StateLimits(valueBytes = 2 * 1024, changes = 5, changesPerSecond = 18.0)
 
--- a/src/test/kotlin/mintpick/upgrade/UpgradeTest.kt
+++ b/src/test/kotlin/mintpick/upgrade/UpgradeTest.kt
@@ -87,6 +87,38 @@
         cluster.assertRulesHeld()
     }
 
+    /** A start of the version in production has no higher token behind it, until a controller of the present version raises it. */
+    @TestFactory
+    fun `a task that the old version started and that moves after the upgrade is not run again where it was`() =
+        (321L..326L).map { seed ->
+            DynamicTest.dynamicTest("seed $seed") {
+                val upgrade = RollingUpgrade(seed)
+                val cluster = upgrade.cluster
+                val service = SampleJobs.service(1, tasks = 6)
+                cluster.repeatedRequests.keepsRequests = true
+                cluster.addUser(service, null)
+                cluster.run(30 * SECOND)
+                (0..2).forEach { upgrade.upgradeNode(it) }
+                cluster.run(45 * SECOND)
+                val failing =
+                    cluster.rules.running
+                        .getValue("${service.id}/0")
+                        .machine
+                cluster.repeatedRequests.repeatEverySecond { it.startsTaskOf(service.id) }
+                cluster.taskFails = { agent, task -> agent.id == failing && task.startsWith(service.id) }
+                cluster.agents.getValue(failing).complete("${service.id}/0", cluster.now)
+                cluster.run(110 * SECOND)
+                cluster.assertRulesHeld()
+                assertTrue(cluster.repeatedRequests.repeated.isNotEmpty(), "requests executed again")
+                assertNotEquals(
+                    failing,
+                    cluster.rules.running
+                        .getValue("${service.id}/0")
+                        .machine,
+                )
+            }
+        }
+
     /** While one controller still runs the old version, jobs with predecessors are refused with 503 and can be resubmitted later. */
     @Test
     fun `a job with predecessors is refused until all controllers support predecessors`() {
