--- a/src/test/kotlin/mintpick/testing/RepeatedRequests.kt
+++ b/src/test/kotlin/mintpick/testing/RepeatedRequests.kt
@@ -51,6 +51,13 @@
     var keepsRequests = false
     private val kept = ArrayDeque<Request>()
 
+    /** Rate of users' requests that are delivered again from a moment to minutes later. */
+    var userRate = 0
+
+    /** Number of users' requests that were delivered again. */
+    var repeatedUserRequests = 0
+        private set
+
     /** Requests that were executed a second time. */
     val repeated = ArrayList<Request>()
 
@@ -66,6 +73,15 @@
         if (keepsRequests || returnRate > 0) keep(request)
     }
 
+    /** Must be called when a user's request was answered; [again] delivers it once more. */
+    internal fun onUserAnswered(again: () -> Unit) {
+        if (!occurs(userRate)) return
+        cluster.after(randomDelay()) {
+            again()
+            repeatedUserRequests++
+        }
+    }
+
     /** From a moment to minutes; each order of magnitude is equally likely. */
     private fun randomDelay(): Micros = exp(ln(MIN_DELAY) + random.nextDouble() * (ln(MAX_DELAY) - ln(MIN_DELAY))).toLong()
 
