--- a/src/test/kotlin/mintpick/core/MachineViewTest.kt
+++ b/src/test/kotlin/mintpick/core/MachineViewTest.kt
@@ -135,6 +135,39 @@
         assertEquals(Proof.Ended(null), view.proof(attempt, 5))
     }
 
+    @Test
+    fun `an attempt whose start was answered is not forgotten until a higher token or agent epoch is shown`() {
+        for ((token, agentEpoch) in listOf(6L to 1L, 5L to 2L)) {
+            val view = view()
+            view.applyStatus(status(1), 1, isDirectAnswer = false)
+            view.recordStartSent(attempt, 5, 1)
+            view.recordStartExecuted(attempt)
+            view.applyStatus(status(2, 5, 1, exited(ExitCause.ERROR)), 2, isDirectAnswer = true)
+            assertEquals(Proof.Ended(ExitCause.ERROR), view.proof(attempt, 5), "the end itself is proven")
+            assertFalse(view.mayForget(attempt, 5))
+            assertEquals(listOf(attempt), view.retainedAttempts)
+            view.applyStatus(status(3, token, agentEpoch, exited(ExitCause.ERROR)), 3, isDirectAnswer = false)
+            assertTrue(view.mayForget(attempt, token))
+            assertTrue(view.retainedAttempts.isEmpty())
+        }
+    }
+
+    @Test
+    fun `an attempt that no start explains is noticed`() {
+        val view = view()
+        val running = TaskReport("req-000001/0", 2, TaskState.RUNNING)
+        view.applyStatus(status(1), 1, isDirectAnswer = false)
+        view.recordStartsInAnswer(setOf(attempt))
+        view.applyStatus(status(2, 5, 1, running), 2, isDirectAnswer = false)
+        assertTrue(view.unexplainedAttempts.isEmpty())
+        view.applyStatus(status(3), 3, isDirectAnswer = false)
+        view.applyStatus(status(4, 5, 1, running), 4, isDirectAnswer = false)
+        assertEquals(setOf(attempt), view.unexplainedAttempts)
+        view.applyStatus(status(5), 5, isDirectAnswer = false)
+        view.applyStatus(status(6, 6, 1, running), 6, isDirectAnswer = false)
+        assertTrue(view.unexplainedAttempts.isEmpty(), "another controller may have started it with its token")
+    }
+
     /** A start times out, and the same start with the same token is answered: the first one may still be executed. */
     @Test
     fun `the response to a repeated start does not resolve a start that timed out`() {
--- a/src/test/kotlin/mintpick/simulation/RuleCheckerTest.kt
+++ b/src/test/kotlin/mintpick/simulation/RuleCheckerTest.kt
@@ -23,6 +23,8 @@
                 r.started("req-000001/0", north, 1)
                 r.started("req-000001/0", south, 2)
             },
+            "removed_too_early" to { r -> r.removedTooEarly("m", "req-000001/0", 1) },
+            "started_too_early" to { r -> r.refusedAsBusy("m", "req-000001/0", 1) },
             "quota" to { r -> (0..2).forEach { r.started("req-000001/$it", north, 1) } },
             "wrong_place" to { r -> r.started("req-000001/0", RuleChecker.TaskPlace("m", "north", true), 1) },
             "ran_cancelled" to { r ->
