--- a/src/test/kotlin/mintpick/soak/SoakRun.kt
+++ b/src/test/kotlin/mintpick/soak/SoakRun.kt
@@ -9,8 +9,6 @@
 import mintpick.testing.SimulatedStateStore
 import mintpick.testing.TaskWatcher
 import mintpick.wire.JobSpec
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.util.SplittableRandom
 import java.util.concurrent.CopyOnWriteArrayList
@@ -113,7 +111,8 @@
     ) {
         store.limits = SimulatedStateStore.StateLimits(VALUE_BYTES, TRANSACTION_CHANGES, CHANGES_PER_SECOND)
         store.retainedChanges = RETAINED_CHANGES
-        val addresses = List(size.controllers) { SoakSettings.Addresses(freeAddress(), freeAddress(), state.addressFor(it)) }
+        val addresses =
+            List(size.controllers) { SoakSettings.Addresses(ControllerPorts.take(), ControllerPorts.take(), state.addressFor(it)) }
         for (i in 0 until size.controllers) {
             controllers +=
                 ControllerProcess(i, directory, addresses[i], size.settings.toml(i, addresses, cloud.address), size.settings.maxSockets)
@@ -247,8 +246,6 @@
         while (users.unansweredSince(quietSinceUs).isNotEmpty() && nowUs() < deadlineUs || nowUs() < observedUntilUs) Thread.sleep(POLL_MS)
     }
 
-    private fun freeAddress(): String = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { "127.0.0.1:${it.localPort}" }
-
     override fun started(
         machine: SimulatedAgent,
         task: String,
