--- a/src/test/kotlin/mintpick/soak/SoakClient.kt
+++ b/src/test/kotlin/mintpick/soak/SoakClient.kt
@@ -21,42 +21,19 @@
         body: String,
         timeoutUs: Micros,
         then: (SoakAnswer?) -> Unit,
-    ) = send(address, "POST", path, body, timeoutUs, then)
-
-    /** Sends a GET; see [post]. */
-    fun get(
-        address: String,
-        path: String,
-        timeoutUs: Micros,
-        then: (SoakAnswer?) -> Unit,
-    ) = send(address, "GET", path, null, timeoutUs, then)
-
-    private fun send(
-        address: String,
-        method: String,
-        path: String,
-        body: String?,
-        timeoutUs: Micros,
-        then: (SoakAnswer?) -> Unit,
     ) {
         val kept = connections.remove(address)
         val startNs = System.nanoTime()
         val use = { connection: SocketConnection ->
             val elapsedUs = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNs)
-            connection.send(method, path, body, timeoutUs - elapsedUs) { answer ->
+            connection.send("POST", path, body, timeoutUs - elapsedUs) { answer ->
                 if (connection.isOpen) connections.put(address, connection)?.close()
                 then(answer)
             }
         }
         if (kept != null && kept.isOpen) return use(kept)
         sockets.connect(address, minOf(timeoutUs, MAX_CONNECT_TIME)) { connection ->
-            if (connection ==
-                null
-            ) {
-                then(null)
-            } else {
-                use(connection)
-            }
+            if (connection == null) then(null) else use(connection)
         }
     }
 
--- a/src/test/kotlin/mintpick/soak/SoakUsers.kt
+++ b/src/test/kotlin/mintpick/soak/SoakUsers.kt
@@ -55,7 +55,7 @@
     ) {
         val requestedUs = nowUs()
         val body = WireJson.encodeToString(JobSpec.serializer(), spec)
-        sendOnce("POST", "/api/jobs", body, SUBMIT_TIMEOUT) { answer ->
+        sendOnce(SoakRequest("POST", "/api/jobs", body), SUBMIT_TIMEOUT) { answer ->
             count("submit", answer)
             if (answer?.status in ACCEPTED) {
                 record(spec.id, answer, requestedUs)
@@ -90,7 +90,7 @@
     /** Asks a controller that the load balancer might not have chosen. */
     private fun askAnyController(id: String) {
         val requestedUs = nowUs()
-        sendOnce("GET", "/api/jobs/$id", null, POLL_TIMEOUT) { answer ->
+        sendOnce(SoakRequest("GET", "/api/jobs/$id"), POLL_TIMEOUT) { answer ->
             count("ask", answer)
             recordPoll(id, answer, requestedUs)
             timer.after(random.seconds(1, 3)) { askAnyController(id) }
@@ -112,7 +112,7 @@
         if (!synchronized(lock) { rules.isAccepted(id) }) return timer.after(SECOND) { cancel(id) }
         synchronized(lock) { rules.cancelRequested(id) }
         val requestedUs = nowUs()
-        sendOnce("POST", "/api/jobs/$id/cancel", "", SUBMIT_TIMEOUT) { answer ->
+        sendOnce(SoakRequest("POST", "/api/jobs/$id/cancel", ""), SUBMIT_TIMEOUT) { answer ->
             count("cancel", answer)
             if (answer?.status == OK) record(id, answer, requestedUs) else timer.after(SECOND) { cancel(id) }
         }
@@ -120,7 +120,7 @@
 
     /** Asks about a job that nobody has submitted. */
     fun pollUnknown(id: String) =
-        sendOnce("GET", "/api/jobs/$id", null, POLL_TIMEOUT) { answer ->
+        sendOnce(SoakRequest("GET", "/api/jobs/$id"), POLL_TIMEOUT) { answer ->
             if (answer?.status == OK) synchronized(lock) { rules.jobAnswered(id, JobStage.QUEUED, nowUs()) }
         }
 
@@ -143,21 +143,10 @@
 
     /** Sends a request to any controller on a connection that is closed afterwards. */
     private fun sendOnce(
-        method: String,
-        path: String,
-        body: String?,
+        request: SoakRequest,
         timeoutUs: Micros,
         then: (SoakAnswer?) -> Unit,
-    ) = sockets.connect(anyController(), minOf(timeoutUs, SECOND)) { connection ->
-        if (connection == null) {
-            then(null)
-        } else {
-            connection.send(method, path, body, timeoutUs) { answer ->
-                connection.close()
-                then(answer)
-            }
-        }
-    }
+    ) = sockets.sendOnce(anyController(), request, timeoutUs, connectTimeoutUs = minOf(timeoutUs, SECOND), then)
 
     private fun anyController(): String = controllers[synchronized(random) { random.nextInt(controllers.size) }].apiAddress
 
--- a/src/test/kotlin/mintpick/soak/SocketClient.kt
+++ b/src/test/kotlin/mintpick/soak/SocketClient.kt
@@ -12,6 +12,13 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
 
+/** A request to a controller. */
+internal class SoakRequest(
+    val method: String,
+    val path: String,
+    val body: String? = null,
+)
+
 /** An answer of a controller. */
 internal class SoakAnswer(
     val status: Int,
@@ -50,6 +57,24 @@
         timer.after(timeoutUs) { decide(null) }
     }
 
+    /**
+     * Sends one request to [address] on a connection of its own, which may take up to [connectTimeoutUs] to open; [then] receives the
+     * answer, or null if there is none within [timeoutUs].
+     */
+    fun sendOnce(
+        address: String,
+        request: SoakRequest,
+        timeoutUs: Micros,
+        connectTimeoutUs: Micros = timeoutUs,
+        then: (SoakAnswer?) -> Unit,
+    ) = connect(address, connectTimeoutUs) { connection ->
+        if (connection == null) return@connect then(null)
+        connection.send(request.method, request.path, request.body, timeoutUs) { answer ->
+            connection.close()
+            then(answer)
+        }
+    }
+
     override fun close() = group.shutdownNow()
 
     private companion object {
--- a/src/test/kotlin/mintpick/soak/StandInLoadBalancer.kt
+++ b/src/test/kotlin/mintpick/soak/StandInLoadBalancer.kt
@@ -76,15 +76,10 @@
         timer.after(SECOND) { probeLoop() }
     }
 
-    private fun probe(backend: Backend) {
-        sockets.connect(backend.controller.apiAddress, PROBE_TIMEOUT) { connection ->
-            if (connection == null) return@connect recordProbe(backend, succeeded = false)
-            connection.send("GET", "/up", null, PROBE_TIMEOUT) { answer ->
-                connection.close()
-                recordProbe(backend, succeeded = answer?.status == OK)
-            }
+    private fun probe(backend: Backend) =
+        sockets.sendOnce(backend.controller.apiAddress, SoakRequest("GET", "/up"), PROBE_TIMEOUT) { answer ->
+            recordProbe(backend, succeeded = answer?.status == OK)
         }
-    }
 
     @Synchronized
     private fun recordProbe(
