--- a/src/test/kotlin/mintpick/simulation/BacklogTest.kt
+++ b/src/test/kotlin/mintpick/simulation/BacklogTest.kt
@@ -17,7 +17,7 @@
         seed: Long,
         writesPerSecond: Double,
     ) = SimulatedCluster(seed, FaultRates(), ClusterSize(machines = MACHINES)) { index ->
-        Settings.parse(SampleJobs.toml(index).replace("write_rps = 40.0", "write_rps = $writesPerSecond"))
+        Settings.parse(SampleJobs.withStateLimits(SampleJobs.toml(index), writesPerSecond))
     }
 
     private fun SimulatedCluster.emptyMachines(): Int = agents.keys.count { rules.tasksOn(it).isEmpty() }
--- a/src/test/kotlin/mintpick/simulation/DependentJobsTest.kt
+++ b/src/test/kotlin/mintpick/simulation/DependentJobsTest.kt
@@ -30,13 +30,7 @@
 /** Jobs with predecessors in a simulated cluster, with low limits on values, transactions and writes of the state store. */
 class DependentJobsTest {
     private fun settings(index: Int) =
-        Settings.parse(
-            SampleJobs
-                .toml(index)
-                .replace("value_kb = 32.0", "value_kb = 2.0")
-                .replace("txn_ops = 16", "txn_ops = 5")
-                .replace("write_rps = 40.0", "write_rps = 18.0"),
-        )
+        Settings.parse(SampleJobs.withStateLimits(SampleJobs.toml(index), writesPerSecond = 18.0, valueKb = 2.0, changes = 5))
 
     private fun cluster(
         seed: Long,
--- a/src/test/kotlin/mintpick/simulation/FinalRecordTest.kt
+++ b/src/test/kotlin/mintpick/simulation/FinalRecordTest.kt
@@ -20,6 +20,7 @@
 import mintpick.testing.SampleJobs
 import mintpick.testing.SimulatedCluster
 import mintpick.testing.assertRulesHeld
+import mintpick.testing.runUntil
 import mintpick.wire.Change
 import mintpick.wire.JobSpec
 import mintpick.wire.JobStage
@@ -129,13 +130,6 @@
 
     private fun SimulatedCluster.complete(task: String) = agents.values.first { task in it.assignedTasks() }.complete(task, now)
 
-    /** Runs until [isReached]; fails if that takes too long. */
-    private fun SimulatedCluster.runUntil(isReached: () -> Boolean) {
-        val deadlineUs = now + 120 * SECOND
-        while (now < deadlineUs && !isReached()) run(now + SECOND / 4)
-        assertTrue(isReached(), "reached before $deadlineUs")
-    }
-
     /** Guards against the last tasks of two chunks that are recorded at the same time by two controllers, none of which sees the other's update. */
     @TestFactory
     fun `an array whose last tasks end at two machines while the state store answers slowly is done soon after`() =
@@ -146,7 +140,7 @@
                 val held = (256 until array.tasks step 8).map { "${array.id}/$it" }
                 held.forEach { cluster.runTimes[it] = 1_000 * SECOND }
                 cluster.after(10 * SECOND) { cluster.addUser(array, null) }
-                cluster.runUntil { cluster.rules.running.keys == held.toSet() }
+                assertTrue(cluster.runUntil(120 * SECOND) { cluster.rules.running.keys == held.toSet() }, "only held tasks run")
                 val chunks = held.groupBy { it.substringAfter('/').toInt() / Job.TASKS_PER_CHUNK }
                 val last = listOf(chunks.getValue(1), chunks.getValue(2)).map { it[cluster.random.nextInt(it.size)] }
                 (held - last.toSet()).forEach { cluster.complete(it) }
--- a/src/test/kotlin/mintpick/simulation/RandomFaultsTest.kt
+++ b/src/test/kotlin/mintpick/simulation/RandomFaultsTest.kt
@@ -57,11 +57,7 @@
                 limits = SimulatedStateStore.StateLimits(valueBytes = 2 * 1024, changes = 8, changesPerSecond = 25.0),
                 hasLargeArrays = true,
             ) { index ->
-                SampleJobs
-                    .toml(index)
-                    .replace("value_kb = 32.0", "value_kb = 2.0")
-                    .replace("txn_ops = 16", "txn_ops = 8")
-                    .replace("write_rps = 40.0", "write_rps = 25.0")
+                SampleJobs.withStateLimits(SampleJobs.toml(index), writesPerSecond = 25.0, valueKb = 2.0, changes = 8)
             }
     }
 }
--- a/src/test/kotlin/mintpick/simulation/UnguaranteedTeamsTest.kt
+++ b/src/test/kotlin/mintpick/simulation/UnguaranteedTeamsTest.kt
@@ -16,7 +16,7 @@
 class UnguaranteedTeamsTest {
     private fun cluster(seed: Long): SimulatedCluster =
         SimulatedCluster(seed, FaultRates(), ClusterSize(machines = 60)) { index ->
-            Settings.parse(SampleJobs.toml(index).replace("write_rps = 40.0", "write_rps = 25.0"))
+            Settings.parse(SampleJobs.withStateLimits(SampleJobs.toml(index), writesPerSecond = 25.0))
         }
 
     private fun unguaranteedJob(
--- a/src/test/kotlin/mintpick/simulation/WriteLimitsTest.kt
+++ b/src/test/kotlin/mintpick/simulation/WriteLimitsTest.kt
@@ -22,6 +22,7 @@
 import mintpick.testing.SimulatedStateStore
 import mintpick.testing.assertRulesHeld
 import mintpick.testing.ownerOf
+import mintpick.testing.runUntil
 import mintpick.wire.JobSpec
 import mintpick.wire.JobStage
 import mintpick.wire.StoredStage
@@ -43,11 +44,12 @@
     ) {
         fun settings(index: Int): Settings =
             Settings.parse(
-                SampleJobs
-                    .toml(index, cpusMax = 2_000.0, controllers = controllers)
-                    .replace("write_rps = 40.0", "write_rps = $writesPerSecond")
-                    .replace("txn_ops = 16", "txn_ops = $changes")
-                    .replace("value_kb = 32.0", "value_kb = $valueKb"),
+                SampleJobs.withStateLimits(
+                    SampleJobs.toml(index, cpusMax = 2_000.0, controllers = controllers),
+                    writesPerSecond,
+                    valueKb,
+                    changes,
+                ),
             )
 
         val enforced get() = SimulatedStateStore.StateLimits((valueKb * 1024).toInt(), changes, writesPerSecond)
@@ -69,16 +71,6 @@
 
     private fun SimulatedCluster.complete(tasks: Collection<String>) = tasks.forEach { machineOf(it).complete(it, now) }
 
-    /** Runs until [isReached], for at most [withinUs]; returns whether it was reached. */
-    private fun SimulatedCluster.runUntil(
-        withinUs: Long,
-        isReached: () -> Boolean,
-    ): Boolean {
-        val deadlineUs = now + withinUs
-        while (now < deadlineUs && !isReached()) run(now + SECOND / 4)
-        return isReached()
-    }
-
     private fun chunkOf(task: String): Int = task.substringAfter('/').toInt() / Job.TASKS_PER_CHUNK
 
     /**
--- a/src/test/kotlin/mintpick/testing/IncidentDay.kt
+++ b/src/test/kotlin/mintpick/testing/IncidentDay.kt
@@ -40,9 +40,7 @@
 /** Settings of controller [index] with the smallest shares and limits of the large deployments. */
 private fun toml(index: Int): String =
     SampleJobs
-        .toml(index)
-        .replace("value_kb = 32.0", "value_kb = 16.0")
-        .replace("write_rps = 40.0", "write_rps = 35.0")
+        .withStateLimits(SampleJobs.toml(index), writesPerSecond = 35.0, valueKb = 16.0)
         .replace("rps = 100.0", "rps = 90.0")
         .replace("report_s = 3.0", "report_s = 6.0")
         .replace("lease_s = 18.0", "lease_s = 34.0")
--- a/src/test/kotlin/mintpick/testing/LargeFleetDay.kt
+++ b/src/test/kotlin/mintpick/testing/LargeFleetDay.kt
@@ -28,12 +28,7 @@
 internal fun largeFleetToml(
     index: Int,
     limits: FleetLimits,
-): String =
-    SampleJobs
-        .toml(index)
-        .replace("value_kb = 32.0", "value_kb = ${limits.valueKb}.0")
-        .replace("write_rps = 40.0", "write_rps = ${limits.changesPerSecond}")
-        .replace("txn_ops = 16", "txn_ops = ${limits.changes ?: 16}")
+): String = SampleJobs.withStateLimits(SampleJobs.toml(index), limits.changesPerSecond, limits.valueKb.toDouble(), limits.changes)
 
 private fun SimulatedCluster.listedMachines(): List<MachineId> =
     state
--- a/src/test/kotlin/mintpick/testing/SampleJobs.kt
+++ b/src/test/kotlin/mintpick/testing/SampleJobs.kt
@@ -72,6 +72,18 @@
     /** Zone of controller [index]: one of three, or half of more, is in the south. */
     private fun zoneOf(index: Int): String = if (index % 2 == 1) "south" else "north"
 
+    /** [toml] with other limits of the state store, where not null. */
+    fun withStateLimits(
+        toml: String,
+        writesPerSecond: Double? = null,
+        valueKb: Double? = null,
+        changes: Int? = null,
+    ): String =
+        toml
+            .replace("write_rps = 40.0", "write_rps = ${writesPerSecond ?: 40.0}")
+            .replace("value_kb = 32.0", "value_kb = ${valueKb ?: 32.0}")
+            .replace("txn_ops = 16", "txn_ops = ${changes ?: 16}")
+
     fun settings(
         index: Int = 0,
         cpusMax: Double = 24.0,
--- a/src/test/kotlin/mintpick/testing/SevenControllers.kt
+++ b/src/test/kotlin/mintpick/testing/SevenControllers.kt
@@ -14,12 +14,9 @@
     cpusMax: Double = 1500.0,
 ): String =
     SampleJobs
-        .toml(index, cpusMax, controllers = 7)
+        .withStateLimits(SampleJobs.toml(index, cpusMax, controllers = 7), writesPerSecond = 15.0, valueKb = 8.0, changes = 12)
         .replace("report_s = 3.0", "report_s = 2.0")
         .replace("lease_s = 18.0", "lease_s = 12.0")
         .replace("cancel_s = 43.0", "cancel_s = 42.0")
-        .replace("write_rps = 40.0", "write_rps = 15.0")
-        .replace("value_kb = 32.0", "value_kb = 8.0")
-        .replace("txn_ops = 16", "txn_ops = 12")
         .replace("\nrps = 8.0", "\nrps = 3.0")
         .replace("cpu = 0.4", "cpu = 0.255")
