Keep only dependencies that can still matter, and job ids in specifications as numbers

Polls got no answer for over a minute, the controllers ended with OutOfMemoryError, and again after each restart.

Cause, measured: class histograms of a controller during the case, 99 jobs, per name: two hash table entries 80 bytes, two boxed ids 32, the text 64, table and list slots 24. So some 130 of 200 bytes were edges from done predecessors, which the dependency graph kept for as long as the job was open although a done job never changes again (the id of the waiting job was boxed once more for each edge), and the rest the names in the specification.

Now the graph keeps an edge only from a job that has not ended, with ids as numbers, and a specification keeps its predecessors in 8 bytes each. The form of records, requests and hints does not change. CriticalPaths works on the numbers as well.

--- a/src/main/kotlin/mintpick/dependencies/CriticalPaths.kt
+++ b/src/main/kotlin/mintpick/dependencies/CriticalPaths.kt
@@ -1,7 +1,10 @@
 package mintpick.dependencies
 
+import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap
+import it.unimi.dsi.fastutil.longs.LongArrayList
 import mintpick.core.JobId
 import mintpick.core.Micros
+import mintpick.wire.PackedJobId
 import mintpick.wire.Priority
 
 /** The urgency of a job, derived from its own requirements and those of its successors. */
@@ -30,7 +33,8 @@
     /** Returns the requirements of a job, or null if the job is unknown. */
     private val requirementsOf: (JobId) -> JobRequirements?,
 ) {
-    private val urgencies = HashMap<JobId, Urgency?>()
+    /** By the number of the job ([PackedJobId]). */
+    private val urgencies = Long2ObjectOpenHashMap<Urgency?>()
     private var cachedVersion = -1L
 
     /** The urgency of [job]; null if the job is unknown. */
@@ -39,30 +43,46 @@
             urgencies.clear()
             cachedVersion = graph.version
         }
-        if (job !in urgencies) computeWithSuccessors(job)
-        return urgencies[job]
+        val number = graph.numberOf(job)
+        if (!urgencies.containsKey(number)) computeWithSuccessors(number)
+        return urgencies[number]
     }
 
     /** Traverses depth-first with an explicit stack: recursion over a long chain of jobs would overflow the thread's stack. */
-    private fun computeWithSuccessors(job: JobId) {
-        val stack = ArrayDeque(listOf(job))
-        while (stack.isNotEmpty()) {
-            val next = stack.last()
-            val missing = graph.successors(next).filter { it !in urgencies }
-            if (next !in urgencies && missing.isNotEmpty()) {
-                stack += missing
-                continue
-            }
-            stack.removeLast()
-            if (next !in urgencies) urgencies[next] = combine(next)
+    private fun computeWithSuccessors(number: Long) {
+        val stack = LongArrayList()
+        stack.push(number)
+        while (!stack.isEmpty) {
+            val next = stack.topLong()
+            val sizeBefore = stack.size
+            if (!urgencies.containsKey(next)) pushMissing(next, stack)
+            if (stack.size > sizeBefore) continue
+            stack.popLong()
+            if (!urgencies.containsKey(next)) urgencies.put(next, combine(next))
         }
     }
 
-    private fun combine(job: JobId): Urgency? {
-        val own = requirementsOf(job) ?: return null
-        val successors = graph.successors(job).mapNotNull { urgencies[it] }
-        val latestEndUs = (successors.mapNotNull { it.latestStartUs } + listOfNotNull(own.deadlineUs)).minOrNull()
-        val priority = (successors.map { it.priority } + own.priority).min()
+    private fun pushMissing(
+        number: Long,
+        stack: LongArrayList,
+    ) {
+        val successors = graph.successorsOf(number)
+        for (index in 0 until successors.size) {
+            val successor = successors.getLong(index)
+            if (!urgencies.containsKey(successor)) stack.push(successor)
+        }
+    }
+
+    private fun combine(number: Long): Urgency? {
+        val own = requirementsOf(JobId(PackedJobId.unpack(number))) ?: return null
+        var priority = own.priority
+        var latestEndUs = own.deadlineUs
+        val successors = graph.successorsOf(number)
+        for (index in 0 until successors.size) {
+            val urgency = urgencies[successors.getLong(index)] ?: continue
+            priority = minOf(priority, urgency.priority)
+            latestEndUs = listOfNotNull(latestEndUs, urgency.latestStartUs).minOrNull()
+        }
         return Urgency(priority, latestEndUs?.let { it - own.expectedRunUs })
     }
 }
--- a/src/main/kotlin/mintpick/engine/cache/FinalJobCache.kt
+++ b/src/main/kotlin/mintpick/engine/cache/FinalJobCache.kt
@@ -2,6 +2,7 @@
 
 import it.unimi.dsi.fastutil.longs.Long2IntOpenHashMap
 import mintpick.core.JobId
+import mintpick.wire.PackedJobId
 import mintpick.wire.StoredStage
 
 /** Jobs in a final stage, stored compactly, because they are kept for as long as users may request them. */
@@ -11,7 +12,7 @@
 
     /** The job [id] if it is in a final stage; null if it is not, or if it is unknown. */
     operator fun get(id: JobId): FinalJob? {
-        val tasks = signedTaskCounts.get(packed(id) ?: return null)
+        val tasks = signedTaskCounts.get(PackedJobId.pack(id.text) ?: return null)
         return when {
             tasks > 0 -> FinalJob(StoredStage.DONE, tasks)
             tasks < 0 -> FinalJob(StoredStage.CANCELLED, -tasks)
@@ -19,22 +20,12 @@
         }
     }
 
-    /** Adds the job [id]. A job whose id does not end with a number is ignored. */
+    /** Adds the job [id]. An id that does not have the form of a job id is ignored. */
     fun put(
         id: JobId,
         job: FinalJob,
     ) {
-        val key = packed(id) ?: return
+        val key = PackedJobId.pack(id.text) ?: return
         signedTaskCounts.put(key, if (job.stage == StoredStage.DONE) job.tasks else -job.tasks)
     }
-
-    private fun packed(id: JobId): Long? {
-        val digits = id.text.substringAfterLast('-')
-        return digits.toLongOrNull()?.let { it * DIGIT_COUNT_RADIX + digits.length }
-    }
-
-    private companion object {
-        /** Greater than any count of digits. Ids may differ only in leading zeros, so a packed id combines number and digit count. */
-        const val DIGIT_COUNT_RADIX = 20
-    }
 }
--- a/src/main/kotlin/mintpick/engine/cache/JobCache.kt
+++ b/src/main/kotlin/mintpick/engine/cache/JobCache.kt
@@ -4,7 +4,6 @@
 import mintpick.core.Chunk
 import mintpick.core.Job
 import mintpick.core.JobId
-import mintpick.core.predecessorIds
 import mintpick.dependencies.DependencyGraph
 import mintpick.dependencies.PredecessorState
 import mintpick.dependencies.Readiness
@@ -140,7 +139,7 @@
 
     /** The job [stored], updated with the readiness that follows from its predecessors' records. */
     private fun withReadiness(stored: Job): Job =
-        when (dependencies.add(stored.id, stored.spec.predecessorIds, ::predecessorState)) {
+        when (dependencies.add(stored.id, stored.spec.predecessors.orEmpty(), ::predecessorState)) {
             Readiness.READY -> stored
             Readiness.WAITING -> stored.with(arePredecessorsDone = false)
             Readiness.CANCELLED -> stored.with(stage = StoredStage.CANCELLED, arePredecessorsDone = false)
--- a/src/main/kotlin/mintpick/engine/jobs/JobUrgency.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/JobUrgency.kt
@@ -4,7 +4,6 @@
 import mintpick.core.JobId
 import mintpick.core.Micros
 import mintpick.core.SECOND
-import mintpick.core.predecessorIds
 import mintpick.dependencies.CriticalPaths
 import mintpick.dependencies.JobRequirements
 import mintpick.dependencies.Urgency
@@ -25,10 +24,7 @@
     /** The urgency of [job]. Its latest start is a wall-clock time. */
     fun of(job: Job): Urgency {
         resetIfCacheReplaced()
-        val hasSuccessors =
-            context.cache.dependencies
-                .successors(job.id)
-                .isNotEmpty()
+        val hasSuccessors = context.cache.dependencies.hasSuccessors(job.id)
         val inherited = if (hasSuccessors) criticalPaths.urgency(job.id) else null
         return inherited ?: requirements(job).ownUrgency()
     }
@@ -38,7 +34,7 @@
      * predecessors, the time at which this controller first saw that all of them are done.
      */
     fun readySinceUs(job: Job): Micros {
-        if (job.spec.predecessorIds.isEmpty()) return job.submittedUs
+        if (job.spec.predecessors.isNullOrEmpty()) return job.submittedUs
         if (predecessorsDoneUs.size > MAX_READY_JOBS) predecessorsDoneUs.keys.removeIf { context.cache.job(it) == null }
         return predecessorsDoneUs.getOrPut(job.id) { context.wallClockUs }
     }
--- a/src/main/kotlin/mintpick/wire/Submission.kt
+++ b/src/main/kotlin/mintpick/wire/Submission.kt
@@ -147,7 +147,7 @@
         val named = names("waits_on").orEmpty()
         named.forEach { if (!Submission.isJobId(it)) throw MalformedException("waits_on: not a job id") }
         if (id in named) throw MalformedException("waits_on: a job can't wait for itself")
-        return named.distinct().ifEmpty { null }
+        return JobIdList.of(named.distinct()).ifEmpty { null }
     }
 
     private fun <T> choice(
--- a/src/main/kotlin/mintpick/wire/UserApi.kt
+++ b/src/main/kotlin/mintpick/wire/UserApi.kt
@@ -65,7 +65,7 @@
     @SerialName("mark_cost_s") val checkpointDurationS: Double,
     @SerialName("due_s") val deadlineS: Double? = null,
     /** Jobs that must be done before any task of this one starts, without duplicates; null if there are none. */
-    @SerialName("waits_on") val predecessors: List<String>? = null,
+    @SerialName("waits_on") @Serializable(JobIdListSerializer::class) val predecessors: List<String>? = null,
 )
 
 /** Stage of a job in answers to users (`stage`). Job records hold a [StoredStage] instead. */
--- a/src/test/kotlin/mintpick/dependencies/DependencyGraphTest.kt
+++ b/src/test/kotlin/mintpick/dependencies/DependencyGraphTest.kt
@@ -63,7 +63,7 @@
                         if (finalStates[n] == PredecessorState.DONE) graph.markDone(id(n)) else graph.markCancelled(id(n))
                     } else {
                         known += n
-                        val readiness = graph.add(id(n), edges.getValue(n).map(::id), stateOf)
+                        val readiness = graph.add(id(n), edges.getValue(n).map { id(it).text }, stateOf)
                         if (readiness == Readiness.CANCELLED) graph.markCancelled(id(n))
                     }
                     known.forEach { assertEquals(expected(it, edges, finalStates, known), graph.readiness(id(it)), "job $it") }
@@ -78,7 +78,7 @@
     fun `a cancellation propagates along a chain of thousands of jobs without recursion and returns each job once`() {
         val graph = DependencyGraph()
         val pending = { _: JobId -> PredecessorState.PENDING }
-        (1..20_000).forEach { graph.add(id(it), listOf(id(it - 1)), pending) }
+        (1..20_000).forEach { graph.add(id(it), listOf(id(it - 1).text), pending) }
         assertEquals((1..20_000).map(::id), graph.markCancelled(id(0)))
         assertEquals(emptyList<JobId>(), graph.markCancelled(id(0)))
         val paths = CriticalPaths(graph) { JobRequirements(Priority.LOW, if (it == id(20_000)) 30_000 * SECOND else null, SECOND) }
@@ -89,9 +89,9 @@
     fun `a job inherits the highest priority of its successors and starts in time for the longest path to a deadline`() {
         val graph = DependencyGraph()
         val pending = { _: JobId -> PredecessorState.PENDING }
-        graph.add(id(1), listOf(id(0)), pending)
-        graph.add(id(2), listOf(id(0)), pending)
-        graph.add(id(3), listOf(id(1), id(2)), pending)
+        graph.add(id(1), listOf(id(0).text), pending)
+        graph.add(id(2), listOf(id(0).text), pending)
+        graph.add(id(3), listOf(id(1).text, id(2).text), pending)
         val runs = mapOf(0 to 10L, 1 to 25L, 2 to 60L, 3 to 5L)
         val paths =
             CriticalPaths(graph) {
