Bound the memory of open jobs and placed tasks, and refuse what does not fit

Cause: admission asked only whether the job fits into the state store (SubmissionValidator.canBeStored), never whether all open jobs together fit into the heap.

The cache keeps the estimated bytes of all open jobs, derived from their records alone, so that all controllers and a restarted one come to the same sum. A submission for which the rest does not suffice gets 503 with Retry-After at once; each controller counts its own submissions under way once for every controller, because all may store as much before they see each other. Tasks beyond their part wait for their turn. The texts of a separately stored specification are dropped once it is joined. Log lines show jobs, bytes, dependencies, placed tasks, submissions under way, and the heap.

--- a/src/main/kotlin/mintpick/cli/ClassDataTraining.kt
+++ b/src/main/kotlin/mintpick/cli/ClassDataTraining.kt
@@ -4,6 +4,7 @@
 import mintpick.config.Operators
 import mintpick.config.Settings
 import mintpick.config.SocketBudget
+import mintpick.core.MemoryBudget
 import mintpick.core.SECOND
 import mintpick.net.Call
 import mintpick.net.CallLimits
@@ -27,7 +28,8 @@
     private const val ROUND_INTERVAL_MS = 625L
     private const val EVENT_LOOP_STOP_TIMEOUT_MS = 1_000L
     private val CALLS = CallLimits(agentCalls = 2, suspectAgentCalls = 2, keptConnections = 8)
-    private val LIMITS = ServiceLimits(apiThreads = 4, peerApiThreads = 2, SocketBudget(SocketBudget.MIN_SOCKETS, peers = 0), idleS = 15)
+    private val LIMITS =
+        ServiceLimits(apiThreads = 4, peerApiThreads = 2, SocketBudget(SocketBudget.MIN_SOCKETS, peers = 0), idleS = 15, MemoryBudget())
 
     /**
      * Runs for about three seconds on the calling thread and on threads of its own.
--- a/src/main/kotlin/mintpick/cli/Main.kt
+++ b/src/main/kotlin/mintpick/cli/Main.kt
@@ -5,6 +5,7 @@
 import mintpick.config.OperatorsFile
 import mintpick.config.Settings
 import mintpick.config.SocketBudget
+import mintpick.core.MemoryBudget
 import mintpick.core.SECOND
 import mintpick.net.JdkServer
 import org.slf4j.LoggerFactory
@@ -75,7 +76,7 @@
         val sockets = SocketBudget(settings.resources.maxConnections, settings.peers.size)
         val idleS = maxOf(MIN_IDLE_CONNECTION_S, settings.heartbeatIntervalUs * HEARTBEATS_UNTIL_IDLE / SECOND)
         JdkServer.prepare(sockets.clients, sockets.keptAgents + sockets.users, idleS)
-        val limits = ServiceLimits(API_THREADS, PEER_API_THREADS, sockets, idleS)
+        val limits = ServiceLimits(API_THREADS, PEER_API_THREADS, sockets, idleS, MemoryBudget(Runtime.getRuntime().maxMemory()))
         Service(settings, loaded.operators, SplittableRandom(SecureRandom().nextLong()), limits).use { service ->
             service.start()
             LOG.info("started node={} zone={} api={} mesh={}", settings.node, settings.zone, settings.api, settings.peerApi)
--- a/src/main/kotlin/mintpick/cli/Service.kt
+++ b/src/main/kotlin/mintpick/cli/Service.kt
@@ -4,6 +4,7 @@
 import mintpick.config.Settings
 import mintpick.config.SocketBudget
 import mintpick.core.MILLI
+import mintpick.core.MemoryBudget
 import mintpick.core.Micros
 import mintpick.core.SECOND
 import mintpick.engine.Engine
@@ -25,12 +26,14 @@
  * @param peerApiThreads number of threads that read requests of other controllers
  * @param sockets division of the process's sockets
  * @param idleS time after which the server closes a connection without a request, in seconds
+ * @param memory division of the process's heap
  */
 internal data class ServiceLimits(
     val apiThreads: Int,
     val peerApiThreads: Int,
     val sockets: SocketBudget,
     val idleS: Long,
+    val memory: MemoryBudget,
 )
 
 /**
@@ -47,7 +50,8 @@
     private val connectionLimits =
         ConnectionLimits(sockets.agents, sockets.keptAgents, sockets.users, limits.idleS * SECOND + JdkServer.IDLE_CHECK_MS * MILLI)
     private val caller = HttpCaller(CallLimits(sockets.agentCalls, sockets.suspectAgentCalls, sockets.keptCalls), ::enqueueOutcome)
-    private val eventLoop: EventLoop = EventLoop(Engine(settings, operators, random), caller::start, ::monotonicUs, ::wallClockUs)
+    private val eventLoop: EventLoop =
+        EventLoop(Engine(settings, operators, random, limits.memory), caller::start, ::monotonicUs, ::wallClockUs)
     private val routes = Routes(eventLoop::offer, eventLoop::isUp, sockets.pendingUserRequests, connectionLimits, ::monotonicUs)
     private val healthLog = HealthLog(eventLoop::reasonForDown)
     private val peerApiServer = JdkServer(settings.peerApi, limits.peerApiThreads)
@@ -107,6 +111,9 @@
             caller.connectionReport(),
             apiServer.waits.takeReport(),
         )
+        val runtime = Runtime.getRuntime()
+        val usedBytes = runtime.totalMemory() - runtime.freeMemory()
+        LOG.info("memory heap_bytes={} limit_bytes={}", usedBytes, limits.memory.heapBytes)
         routes.takeRefusalReport()?.let { LOG.info("requests refused {}", it) }
     }
 
--- a/src/main/kotlin/mintpick/engine/Engine.kt
+++ b/src/main/kotlin/mintpick/engine/Engine.kt
@@ -3,6 +3,7 @@
 import mintpick.config.Operators
 import mintpick.config.Settings
 import mintpick.core.MILLI
+import mintpick.core.MemoryBudget
 import mintpick.core.Micros
 import mintpick.engine.agents.AgentRegistry
 import mintpick.engine.agents.CommandPlanner
@@ -65,8 +66,12 @@
     private val settings: Settings,
     operators: Operators,
     random: RandomGenerator,
+    memory: MemoryBudget,
 ) : StateMachine {
-    private val context = EngineContext(settings, random)
+    /** An engine for a heap of the usual size. */
+    constructor(settings: Settings, operators: Operators, random: RandomGenerator) : this(settings, operators, random, MemoryBudget())
+
+    private val context = EngineContext(settings, random, memory)
     private val formats = RecordFormatNegotiator(context)
     private val stateStore = StateStoreClient(context, formats)
     private val shardClaims = ShardClaims(context, stateStore, Connectivity())
@@ -137,7 +142,15 @@
     override fun takeReport(): String {
         val cacheAgeMs = stateStore.cacheAsOfUs?.let { (context.now - it) / MILLI }
         val records = "phase=${stateStore.phase.label()} revision=${context.cache.revision} cache_age_ms=$cacheAgeMs"
-        return "$records ${context.metrics.takeReport()}"
+        return "$records ${memoryReport()} ${context.metrics.takeReport()}"
+    }
+
+    private fun memoryReport(): String {
+        val cache = context.cache
+        val submissions = pendingRequests.submissions.size
+        return "memory jobs=${cache.jobs.size} open_job_bytes=${cache.openJobBytes} limit=${context.memory.openJobBytes} " +
+            "dependencies=${cache.dependencies.edgeCount} placed_tasks=${cache.placedTaskCount} limit=${context.memory.placedTasks} " +
+            "submissions=$submissions submission_bytes=${pendingRequests.submissionBytes}"
     }
 
     /**
--- a/src/main/kotlin/mintpick/engine/cache/JobCache.kt
+++ b/src/main/kotlin/mintpick/engine/cache/JobCache.kt
@@ -4,6 +4,7 @@
 import mintpick.core.Chunk
 import mintpick.core.Job
 import mintpick.core.JobId
+import mintpick.core.JobMemory
 import mintpick.dependencies.DependencyGraph
 import mintpick.dependencies.PredecessorState
 import mintpick.dependencies.Readiness
@@ -36,6 +37,10 @@
     /** Dependencies between jobs, with the readiness that follows from the records of predecessors. */
     val dependencies = DependencyGraph()
 
+    /** Estimated bytes of the jobs without their dependencies, and of specifications whose jobs are not known. */
+    val estimatedBytes: Long get() = jobBytes + specPieces.textBytes + dependencies.edgeCount * JobMemory.EDGE_BYTES.toLong()
+    private var jobBytes = 0L
+
     /** Number of open jobs whose separately stored specifications are not known completely. */
     val incompleteCount: Int get() = incompleteJobs.size
 
@@ -102,6 +107,7 @@
             return
         }
         incompleteJobs.remove(id)
+        if (stored.specPieceCount > 0) specPieces.releaseTexts(id)
         val job = withReadiness(stored)
         replace(id, job)
         if (job.stage == StoredStage.CANCELLED) updateSuccessors(id, StoredStage.CANCELLED)
@@ -172,8 +178,10 @@
         id: JobId,
         after: Job?,
     ) {
-        jobsById[id]?.let(placements::remove)
+        val before = jobsById[id]
+        before?.let(placements::remove)
         after?.let(placements::add)
+        countBytes(before, after)
         if (after == null) {
             jobsById.remove(id)
         } else {
@@ -183,6 +191,15 @@
         updateMembership(waitingIds, id, after != null && after.waitingCount > 0)
     }
 
+    /** Counts a job when it is added or removed; its specification never changes in between. */
+    private fun countBytes(
+        before: Job?,
+        after: Job?,
+    ) {
+        if (before == null && after != null) jobBytes += JobMemory.openJobBytes(after.spec)
+        if (before != null && after == null) jobBytes -= JobMemory.openJobBytes(before.spec)
+    }
+
     private fun hasEnded(job: Job): Boolean =
         when (job.stage) {
             StoredStage.OPEN -> job.doneCount == job.spec.tasks
--- a/src/main/kotlin/mintpick/engine/cache/LocalCache.kt
+++ b/src/main/kotlin/mintpick/engine/cache/LocalCache.kt
@@ -44,6 +44,12 @@
     /** Number of open jobs whose separately stored specifications are not known completely. */
     val incompleteJobCount: Int get() = jobCache.incompleteCount
 
+    /** Estimated bytes of the open jobs with their names and dependencies, without their placed tasks. */
+    val openJobBytes: Long get() = jobCache.estimatedBytes
+
+    /** Number of placed tasks of all jobs. */
+    val placedTaskCount: Int get() = placementIndex.taskCount
+
     /** Jobs that are not in a final stage. */
     val jobs: Collection<Job> get() = jobCache.jobs
 
--- a/src/main/kotlin/mintpick/engine/cache/PlacementIndex.kt
+++ b/src/main/kotlin/mintpick/engine/cache/PlacementIndex.kt
@@ -26,6 +26,10 @@
     private val loads = HashMap<MachineId, MachineLoad>()
     private val usedByTeam = HashMap<String, Resources>()
 
+    /** Number of placed tasks of all jobs. */
+    var taskCount = 0
+        private set
+
     /** Machines that tasks are placed on. */
     val machines: Set<MachineId> get() = loads.keys
 
@@ -67,6 +71,7 @@
             if (job.spec.isService || job.spec.isProduction) load.usedByServices += perTask
         }
         if (count == 0) return
+        taskCount += sign * count
         val team = job.spec.team
         usedByTeam[team] = usedBy(team) + job.spec.demand * (sign * count).toDouble()
     }
--- a/src/main/kotlin/mintpick/engine/jobs/JobAnswers.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/JobAnswers.kt
@@ -93,6 +93,9 @@
     /** The answer to a submission that can't be stored in time, because too many others are pending. */
     fun tooManySubmissions(): Answer = errorAnswer(HttpStatus.TOO_MANY_REQUESTS, "too many submissions", RETRY_AFTER_S)
 
+    /** The answer to a submission for which the controllers have no memory until other jobs have ended. */
+    fun tooManyOpenJobs(): Answer = errorAnswer(HttpStatus.UNAVAILABLE, "too many open jobs", RETRY_AFTER_OPEN_JOBS_S)
+
     private fun status(id: JobId): JobStatus? {
         cache.finalJob(id)?.let { return finalStatus(id, it) }
         val job = cache.job(id) ?: return null
@@ -122,5 +125,6 @@
 
     private companion object {
         const val RETRY_AFTER_S = 1
+        const val RETRY_AFTER_OPEN_JOBS_S = 5
     }
 }
--- a/src/main/kotlin/mintpick/engine/jobs/PendingRequests.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/PendingRequests.kt
@@ -28,6 +28,8 @@
 class PendingSubmission(
     /** The specification that was submitted first under this id. */
     val spec: JobSpec,
+    /** Estimated memory of the job, in bytes. */
+    val memoryBytes: Long,
     receivedUs: Micros,
 ) : PendingRequest(receivedUs)
 
@@ -62,12 +64,19 @@
     /** Whether a further submission could not be stored in time. */
     val isFull: Boolean get() = submissionsById.size >= maxSubmissions
 
-    /** Adds a submission. A repeated submission is stored and answered together with the first one. */
+    /** Estimated memory of the jobs that are not stored yet, in bytes. */
+    val submissionBytes: Long get() = submissionsById.values.sumOf { it.memoryBytes }
+
+    /**
+     * Adds a submission of a job that needs about [memoryBytes] bytes of memory. A repeated submission is stored and answered together
+     * with the first one.
+     */
     fun addSubmission(
         spec: JobSpec,
+        memoryBytes: Long,
         reply: ReplyTo,
     ) {
-        submissionsById.getOrPut(JobId(spec.id)) { PendingSubmission(spec, context.now) }.replies += reply
+        submissionsById.getOrPut(JobId(spec.id)) { PendingSubmission(spec, memoryBytes, context.now) }.replies += reply
     }
 
     /** Adds a cancellation. A repeated cancellation is stored and answered together with the first one. */
--- a/src/main/kotlin/mintpick/engine/jobs/SubmissionValidator.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/SubmissionValidator.kt
@@ -2,6 +2,7 @@
 
 import mintpick.config.PlatformFile
 import mintpick.core.JobId
+import mintpick.core.JobMemory
 import mintpick.core.Resources
 import mintpick.core.capacity
 import mintpick.core.demand
@@ -27,6 +28,9 @@
     /** The job has predecessors, but at least one controller may still run an older version, which ignores them. */
     data object DependenciesNotSupportedYet : AdmissionResult
 
+    /** The open jobs of all controllers leave too little memory for the job; it may be submitted again later. */
+    data object TooLittleMemory : AdmissionResult
+
     /** These predecessors are missing from the records cached by this controller. */
     data class UnknownPredecessors(
         val jobs: List<JobId>,
@@ -52,11 +56,18 @@
 ) {
     private val cache get() = context.cache
 
-    /** Checks whether [spec] may be stored, according to the records cached by this controller. */
-    fun validate(spec: JobSpec): AdmissionResult {
+    /**
+     * Checks whether [spec] may be stored, according to the records cached by this controller. [pendingBytes] is the estimated memory
+     * of its submissions that are not stored yet.
+     */
+    fun validate(
+        spec: JobSpec,
+        pendingBytes: Long,
+    ): AdmissionResult {
         val reason = rejectionReason(spec)
         return when {
             reason != null -> AdmissionResult.Rejected(reason)
+            !fitsInMemory(spec, pendingBytes) -> AdmissionResult.TooLittleMemory
             spec.predecessors == null -> AdmissionResult.Accepted
             !formats.allowsDependencies -> AdmissionResult.DependenciesNotSupportedYet
             else -> checkPredecessors(spec)
@@ -69,6 +80,25 @@
         return if (unknown.isEmpty()) AdmissionResult.Accepted else AdmissionResult.UnknownPredecessors(unknown)
     }
 
+    /** Estimated memory that each controller needs for the job [spec] once it is stored, in bytes. */
+    fun memoryOf(spec: JobSpec): Long {
+        val unfinished = spec.predecessorIds.count { cache.finalJob(it) == null }
+        return JobMemory.openJobBytes(spec) + unfinished * JobMemory.EDGE_BYTES.toLong()
+    }
+
+    /**
+     * Whether the job fits in the memory that each controller has for open jobs. All controllers may store as much as this one before
+     * they see each other's jobs.
+     */
+    private fun fitsInMemory(
+        spec: JobSpec,
+        pendingBytes: Long,
+    ): Boolean {
+        val controllers = context.settings.peers.size + 1
+        val addedBytes = (pendingBytes + memoryOf(spec)) * controllers
+        return cache.openJobBytes + addedBytes <= context.memory.openJobBytes
+    }
+
     private fun rejectionReason(spec: JobSpec): RejectionReason? {
         val team = context.settings.teams.firstOrNull { it.name == spec.team }
         return when {
--- a/src/main/kotlin/mintpick/engine/jobs/UserRequestHandler.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/UserRequestHandler.kt
@@ -44,11 +44,12 @@
         reply: ReplyTo,
     ) {
         val id = JobId(spec.id)
-        when (val result = validator.validate(spec)) {
-            AdmissionResult.Accepted -> pendingRequests.addSubmission(spec, reply)
+        when (val result = validator.validate(spec, pendingRequests.submissionBytes)) {
+            AdmissionResult.Accepted -> pendingRequests.addSubmission(spec, validator.memoryOf(spec), reply)
             // The id is looked up first, because a repeated submission of an accepted job must never get 422.
             is AdmissionResult.Rejected ->
                 answers.sendCurrentStageOr(id, reply) { errorAnswer(HttpStatus.UNPROCESSABLE, result.reason.text) }
+            AdmissionResult.TooLittleMemory -> answers.sendCurrentStageOr(id, reply) { answers.tooManyOpenJobs() }
             AdmissionResult.DependenciesNotSupportedYet ->
                 answers.sendCurrentStageOr(id, reply) { answers.unavailable("not all controllers know jobs that wait for others yet") }
             is AdmissionResult.UnknownPredecessors -> submitAfterCatchUp(spec, reply)
@@ -70,7 +71,8 @@
             !ok -> context.send(reply, answers.stateStoreUnavailable())
             cache.isKnown(id) -> answers.sendStage(id, answers.stage(id) ?: JobStage.QUEUED, reply)
             result is AdmissionResult.UnknownPredecessors -> rejectUnknownPredecessors(result.jobs, reply)
-            else -> pendingRequests.addSubmission(spec, reply)
+            pendingRequests.isFull -> context.send(reply, answers.tooManySubmissions())
+            else -> pendingRequests.addSubmission(spec, validator.memoryOf(spec), reply)
         }
     }
 
--- a/src/main/kotlin/mintpick/engine/runtime/EngineContext.kt
+++ b/src/main/kotlin/mintpick/engine/runtime/EngineContext.kt
@@ -1,6 +1,7 @@
 package mintpick.engine.runtime
 
 import mintpick.config.Settings
+import mintpick.core.MemoryBudget
 import mintpick.core.Micros
 import mintpick.core.NodeId
 import mintpick.engine.cache.LocalCache
@@ -10,12 +11,13 @@
 import java.util.random.RandomGenerator
 
 /**
- * Shared by all parts of the engine: settings, the clocks of the current step, the local cache of the state store's records,
+ * Shared by all parts of the engine: settings, the parts of the memory, the clocks of the current step, the local cache of the state store's records,
  * and the effects to perform after the step. Event-loop thread only.
  */
 class EngineContext(
     val settings: Settings,
     val random: RandomGenerator,
+    val memory: MemoryBudget = MemoryBudget(),
 ) {
     /** The identifier of this controller. */
     val self = NodeId(settings.node)
--- a/src/main/kotlin/mintpick/engine/scheduling/JobPlacer.kt
+++ b/src/main/kotlin/mintpick/engine/scheduling/JobPlacer.kt
@@ -68,7 +68,8 @@
         pass: PlacementPass,
     ): Int {
         if (!pass.jobUpdates.isTeamAvailable(job.spec.team)) return 0
-        return minOf(pass.teamQuota.remainingTasks(job.spec), MAX_TASKS_PER_PLACEMENT, startable)
+        val remainingInMemory = maxOf(0, context.memory.placedTasks - cache.placedTaskCount - pass.tasksPlaced)
+        return minOf(pass.teamQuota.remainingTasks(job.spec), MAX_TASKS_PER_PLACEMENT, startable, remainingInMemory)
     }
 
     /** Whether [count] tasks are too few to start [job]. A gang starts only as a whole. */
@@ -158,6 +159,7 @@
             pass.teamQuota.reserve(job.spec, 1)
             count++
         }
+        pass.tasksPlaced += count
         pass.writesUsed += maxOf(1, draft.changedChunks.size)
         if (LOG.isDebugEnabled) {
             val isOnAllMachines = candidates !== pass.candidates.own
--- a/src/main/kotlin/mintpick/engine/scheduling/PlacementPass.kt
+++ b/src/main/kotlin/mintpick/engine/scheduling/PlacementPass.kt
@@ -47,6 +47,9 @@
     /** Number of writes that the placements of this pass need so far. */
     var writesUsed = 0
 
+    /** Number of tasks placed so far. */
+    var tasksPlaced = 0
+
     /** Whether any job was placed partially. */
     var hasPlacedPartially = false
 
--- a/src/test/kotlin/mintpick/simulation/UserRequestFaultCombinationsTest.kt
+++ b/src/test/kotlin/mintpick/simulation/UserRequestFaultCombinationsTest.kt
@@ -351,7 +351,7 @@
         val scripted = ScriptedStateStore().apply { startServing() }
         val pendingRequests = PendingRequests(scripted.context, scripted.stateStore, JobAnswers(scripted.context, scripted.stateStore))
         val answers = ArrayList<Answer>()
-        pendingRequests.addSubmission(batch(5)) { answers += it }
+        pendingRequests.addSubmission(batch(5), 1_000) { answers += it }
         scripted.context.cache.apply(Keys.job(id(5)), RecordCodec.finalJson(StoredStage.CANCELLED, 1), 20)
         pendingRequests.onSubmissionStored(JobId(id(5)))
         scripted.context
