Bound the memory of requests that are decoded or wait for an answer

A submission of 64 KiB takes up to 36 times its bytes while it is decoded (a document of empty lists), 32 threads decode at once, and up to 225 decoded ones wait for the event loop (fd_limit 1,800): several times the heap. The API also read bodies of up to 512 KiB, eight times what it accepts.

Now a request reserves what it may need before it is decoded, and keeps what its decoded form needs until it is answered; submissions and heartbeats each have a sixteenth of the heap. What finds no memory is answered with 503 and Retry-After at once. Polls, cancellations and health checks need none. A body that is too long is skipped, not kept.

The simulated state store observes the protocol's limit of 512 KiB for a page.

--- a/src/main/kotlin/mintpick/cli/FakeServices.kt
+++ b/src/main/kotlin/mintpick/cli/FakeServices.kt
@@ -2,6 +2,7 @@
 
 import mintpick.config.Address
 import mintpick.net.JdkServer
+import mintpick.wire.MAX_BODY_BYTES
 import org.http4k.core.Method
 import org.http4k.core.Request
 import org.http4k.core.Response
@@ -15,7 +16,7 @@
 internal class FakeServices(
     address: Address,
 ) : AutoCloseable {
-    private val server = JdkServer(address, THREADS)
+    private val server = JdkServer(address, THREADS, MAX_BODY_BYTES)
     private val revision = AtomicLong(1)
 
     /**
--- a/src/main/kotlin/mintpick/cli/Service.kt
+++ b/src/main/kotlin/mintpick/cli/Service.kt
@@ -16,6 +16,7 @@
 import mintpick.net.Outcome
 import mintpick.users.ConnectionLimits
 import mintpick.users.Routes
+import mintpick.wire.MAX_BODY_BYTES
 import org.slf4j.LoggerFactory
 import java.util.SplittableRandom
 
@@ -52,10 +53,11 @@
     private val caller = HttpCaller(CallLimits(sockets.agentCalls, sockets.suspectAgentCalls, sockets.keptCalls), ::enqueueOutcome)
     private val eventLoop: EventLoop =
         EventLoop(Engine(settings, operators, random, limits.memory), caller::start, ::monotonicUs, ::wallClockUs)
-    private val routes = Routes(eventLoop::offer, eventLoop::isUp, sockets.pendingUserRequests, connectionLimits, ::monotonicUs)
+    private val routes =
+        Routes(eventLoop::offer, eventLoop::isUp, sockets.pendingUserRequests, connectionLimits, limits.memory, ::monotonicUs)
     private val healthLog = HealthLog(eventLoop::reasonForDown)
-    private val peerApiServer = JdkServer(settings.peerApi, limits.peerApiThreads)
-    private val apiServer = JdkServer(settings.api, limits.apiThreads)
+    private val peerApiServer = JdkServer(settings.peerApi, limits.peerApiThreads, JdkServer.MAX_PEER_REQUEST_BYTES)
+    private val apiServer = JdkServer(settings.api, limits.apiThreads, MAX_BODY_BYTES)
     private val requestExpiryThread = Thread(null, ::expireRequestsPeriodically, "overdue").apply { isDaemon = true }
 
     private var nextReportUs: Micros = 0
@@ -113,7 +115,7 @@
         )
         val runtime = Runtime.getRuntime()
         val usedBytes = runtime.totalMemory() - runtime.freeMemory()
-        LOG.info("memory heap_bytes={} limit_bytes={}", usedBytes, limits.memory.heapBytes)
+        LOG.info("memory heap_bytes={} limit_bytes={} {}", usedBytes, limits.memory.heapBytes, routes.takeMemoryReport())
         routes.takeRefusalReport()?.let { LOG.info("requests refused {}", it) }
     }
 
--- a/src/main/kotlin/mintpick/net/JdkServer.kt
+++ b/src/main/kotlin/mintpick/net/JdkServer.kt
@@ -13,6 +13,7 @@
 import org.http4k.core.Uri
 import org.slf4j.LoggerFactory
 import java.io.IOException
+import java.io.InputStream
 import java.net.InetSocketAddress
 import java.nio.ByteBuffer
 import java.util.concurrent.Executor
@@ -30,10 +31,12 @@
  * Must be started and stopped by the same thread. The server's threads are daemons.
  *
  * @param threads number of requests that are read at the same time
+ * @param maxBodyBytes longest body of a request that is kept; of a longer one, one byte more is passed on, so that it can be refused
  */
 class JdkServer(
     private val address: Address,
     threads: Int,
+    private val maxBodyBytes: Int,
 ) {
     private val readers = pool("http", threads)
     private val writers = pool("reply", maxOf(1, threads / READERS_PER_WRITER))
@@ -80,12 +83,19 @@
             respond(exchange, Response(Status.NOT_IMPLEMENTED))
             return
         }
-        val body = exchange.requestBody.readNBytes(MAX_REQUEST_BYTES)
+        val body = readBody(exchange.requestBody)
         val client = RequestSource(exchange.remoteAddress.address.hostAddress, exchange.remoteAddress.port)
         val request = Request(method, Uri.of(exchange.requestURI.toString())).source(client).body(MemoryBody(ByteBuffer.wrap(body)) as Body)
         handler(request) { response -> queueResponse(exchange, response) }
     }
 
+    /** Reads the body in [input]. The rest of one that is too long is skipped, because a client sends all of it before it reads the answer. */
+    private fun readBody(input: InputStream): ByteArray {
+        val body = input.readNBytes(maxBodyBytes + 1)
+        if (body.size > maxBodyBytes) input.skip(MAX_SKIPPED_BYTES)
+        return body
+    }
+
     private fun queueResponse(
         exchange: HttpExchange,
         response: Response,
@@ -136,8 +146,9 @@
         /** Length that the JDK's server expects for a response without body. */
         private const val NO_BODY = -1L
 
-        /** Larger than any accepted body, peer hints included. Longer bodies are truncated, which makes them malformed. */
-        private const val MAX_REQUEST_BYTES = 512 * 1024
+        /** Larger than any hint of a peer. */
+        const val MAX_PEER_REQUEST_BYTES = 512 * 1024
+        private const val MAX_SKIPPED_BYTES = 512L * 1024
 
         /** How often idle connections are looked for, in milliseconds. */
         const val IDLE_CHECK_MS = 2_000L
--- a/src/main/kotlin/mintpick/users/Routes.kt
+++ b/src/main/kotlin/mintpick/users/Routes.kt
@@ -1,6 +1,8 @@
 package mintpick.users
 
 import mintpick.core.JobId
+import mintpick.core.JobMemory
+import mintpick.core.MemoryBudget
 import mintpick.core.Micros
 import mintpick.engine.runtime.Event
 import mintpick.engine.runtime.ReplyTo
@@ -29,6 +31,7 @@
  *   have to wait behind the heartbeats of hundreds of agents.
  * @param maxUserRequests maximum number of user requests that may be waiting for an answer at the same time
  * @param connectionLimits largest numbers of connections of users and agents
+ * @param memory bounds the bytes of requests that are decoded or wait for an answer
  * @param monotonicUs the monotonic clock, in microseconds
  */
 class Routes(
@@ -36,14 +39,20 @@
     private val isUp: () -> Boolean,
     maxUserRequests: Int,
     connectionLimits: ConnectionLimits,
+    memory: MemoryBudget,
     monotonicUs: () -> Micros,
 ) {
     private val unanswered = UnansweredRequests(offer, maxUserRequests, monotonicUs)
     private val connections = ConnectionTable(connectionLimits, monotonicUs)
+    private val submissionMemory = RequestMemory(memory.userRequestBytes)
+    private val heartbeatMemory = RequestMemory(memory.heartbeatBytes)
 
     /** Returns a text with the open connections by kind of client, and the most since the last call. */
     fun takeConnectionReport(): String = connections.takeReport()
 
+    /** Returns a text with the memory of submissions and heartbeats that wait for an answer, and the most since the last call. */
+    fun takeMemoryReport(): String = "submissions ${submissionMemory.takeReport()} heartbeats ${heartbeatMemory.takeReport()}"
+
     /** Returns a text with the requests refused since the last call, by reason; null if there were none. */
     fun takeRefusalReport(): String? = unanswered.refusals.takeReport()
 
@@ -146,15 +155,35 @@
         respond: Respond,
     ) {
         val body = request.boundedBody() ?: return respond(TOO_LARGE.toResponse())
-        val spec =
-            try {
-                Submission.parse(body.decodeToString())
-            } catch (e: MalformedException) {
-                return refuseMalformed(e, respond)
-            }
-        unanswered.enqueueUserRequest(respond) { reply -> Event.Submit(spec, reply) }
+        val decodeBytes = body.size * SUBMISSION_BYTES_PER_BYTE
+        if (!submissionMemory.tryReserve(decodeBytes)) {
+            unanswered.recordRefusal(TOO_LARGE_SUBMISSIONS, RequestOrigin.USER)
+            return respond(TOO_LARGE_SUBMISSIONS.toResponse())
+        }
+        var keptBytes = 0L
+        try {
+            val spec = Submission.parse(body.decodeToString())
+            keptBytes = minOf(decodeBytes, JobMemory.openJobBytes(spec))
+            val respondAndRelease = releasing(submissionMemory, keptBytes, respond)
+            unanswered.enqueueUserRequest(respondAndRelease) { reply -> Event.Submit(spec, reply) }
+        } catch (e: MalformedException) {
+            refuseMalformed(e, respond)
+        } finally {
+            submissionMemory.release(decodeBytes - keptBytes)
+        }
     }
 
+    /** [respond], which also releases [bytes] of [memory]. Must be called once. */
+    private fun releasing(
+        memory: RequestMemory,
+        bytes: Long,
+        respond: Respond,
+    ): Respond =
+        { response ->
+            memory.release(bytes)
+            respond(response)
+        }
+
     /**
      * Refuses a malformed submission without a job id. One with an id is passed to the event loop: the job may have been
      * accepted before, and its acceptance holds even if the repeated submission is malformed.
@@ -173,15 +202,23 @@
         respond: Respond,
     ) {
         val body = request.boundedBody() ?: return respond(TOO_LARGE.toResponse())
-        val heartbeat =
-            try {
-                WireJson.decodeFromString(MachineReport.serializer(), body.decodeToString())
-            } catch (e: IllegalArgumentException) {
-                // Includes the decoder's SerializationException and exceptions that constructors throw for invalid values.
-                LOG.debug("heartbeat malformed bytes={}", body.size, e)
-                return respond(errorAnswer(BAD_REQUEST, e.message ?: MALFORMED).toResponse())
-            }
-        unanswered.enqueue(respond) { reply -> Event.Report(heartbeat, reply) }
+        val decodeBytes = body.size * HEARTBEAT_BYTES_PER_BYTE
+        if (!heartbeatMemory.tryReserve(decodeBytes)) {
+            unanswered.recordRefusal(TOO_LARGE_HEARTBEATS, RequestOrigin.AGENT_OR_PEER)
+            return respond(TOO_LARGE_HEARTBEATS.toResponse())
+        }
+        var keptBytes = 0L
+        try {
+            val heartbeat = WireJson.decodeFromString(MachineReport.serializer(), body.decodeToString())
+            keptBytes = body.size * KEPT_HEARTBEAT_BYTES_PER_BYTE
+            unanswered.enqueue(releasing(heartbeatMemory, keptBytes, respond)) { reply -> Event.Report(heartbeat, reply) }
+        } catch (e: IllegalArgumentException) {
+            // Includes the decoder's SerializationException and exceptions that constructors throw for invalid values.
+            LOG.debug("heartbeat malformed bytes={}", body.size, e)
+            respond(errorAnswer(BAD_REQUEST, e.message ?: MALFORMED).toResponse())
+        } finally {
+            heartbeatMemory.release(decodeBytes - keptBytes)
+        }
     }
 
     private fun routePeerApi(
@@ -217,6 +254,15 @@
         const val UNAVAILABLE = 503
         const val RETRY_AFTER_S = 1
         const val CLOSE = "close"
+
+        /** Largest memory for a byte of a submission while it is decoded: a JSON document of empty lists. */
+        const val SUBMISSION_BYTES_PER_BYTE = 36L
+
+        /** Largest memory for a byte of a heartbeat while it is decoded, and afterwards. */
+        const val HEARTBEAT_BYTES_PER_BYTE = 6L
+        const val KEPT_HEARTBEAT_BYTES_PER_BYTE = 3L
+        val TOO_LARGE_SUBMISSIONS = errorAnswer(UNAVAILABLE, "too many bytes of submissions", RETRY_AFTER_S)
+        val TOO_LARGE_HEARTBEATS = errorAnswer(UNAVAILABLE, "too many bytes of heartbeats", RETRY_AFTER_S)
         val TOO_MANY_AGENTS = errorAnswer(UNAVAILABLE, "too many agents", RETRY_AFTER_S)
         val UP = Answer.json(OK, "{}")
         val NOT_READY = errorAnswer(UNAVAILABLE, "not ready", RETRY_AFTER_S)
--- a/src/test/kotlin/mintpick/soak/ControllerProcess.kt
+++ b/src/test/kotlin/mintpick/soak/ControllerProcess.kt
@@ -41,6 +41,9 @@
         process = builder.start()
     }
 
+    /** Whether the process runs; false also if it has ended by itself. */
+    val isRunning: Boolean @Synchronized get() = process?.isAlive == true
+
     /** Number of sockets at the last [countSockets]. */
     @Volatile var openSockets = 0
         private set
--- a/src/test/kotlin/mintpick/testing/ConnectedUsers.kt
+++ b/src/test/kotlin/mintpick/testing/ConnectedUsers.kt
@@ -1,6 +1,7 @@
 package mintpick.testing
 
 import kotlinx.serialization.json.jsonObject
+import mintpick.core.MemoryBudget
 import mintpick.core.Micros
 import mintpick.core.SECOND
 import mintpick.users.ConnectionLimits
@@ -27,7 +28,7 @@
     private val rules get() = cluster.rules
     private val routes =
         cluster.nodes.associateWith { node ->
-            Routes({ node.deliver(it) }, { node.isUp }, MAX_PENDING_USER_REQUESTS, NO_CONNECTION_LIMITS) { cluster.now }
+            Routes({ node.deliver(it) }, { node.isUp }, MAX_PENDING_USER_REQUESTS, NO_CONNECTION_LIMITS, MemoryBudget()) { cluster.now }
         }
 
     /** Polls by result: the status of the answer, or a word for the lack of one. */
--- a/src/test/kotlin/mintpick/testing/SimulatedStateStore.kt
+++ b/src/test/kotlin/mintpick/testing/SimulatedStateStore.kt
@@ -176,8 +176,16 @@
                 .filterKeys { it.startsWith(prefix) }
                 .entries
                 .take(limit + 1)
-        val page = found.take(limit).map { StoredItem(it.key, it.value.value, it.value.version) }
-        return HttpAnswer(200, WireJson.encodeToString(ItemPage.serializer(), ItemPage(page, found.size > limit, revision)))
+        var bytes = 0
+        val page =
+            found
+                .take(limit)
+                .map { StoredItem(it.key, it.value.value, it.value.version) }
+                .takeWhile { item ->
+                    bytes += item.value.toString().length + item.key.length + ITEM_OVERHEAD_BYTES
+                    bytes <= MAX_PAGE_BYTES
+                }
+        return HttpAnswer(200, WireJson.encodeToString(ItemPage.serializer(), ItemPage(page, found.size > page.size, revision)))
     }
 
     private fun events(since: Long) =
@@ -260,5 +268,11 @@
 
     private companion object {
         const val GUARDS_PER_CHANGE = 4
+
+        /** The protocol's limit of a page of items. */
+        const val MAX_PAGE_BYTES = 512 * 1024
+
+        /** Names and numbers around the key and the value of an item. */
+        const val ITEM_OVERHEAD_BYTES = 48
     }
 }
--- a/src/test/kotlin/mintpick/testing/UserFaults.kt
+++ b/src/test/kotlin/mintpick/testing/UserFaults.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import mintpick.core.MILLI
+import mintpick.core.MemoryBudget
 import mintpick.core.Micros
 import mintpick.core.SECOND
 import mintpick.users.Routes
@@ -26,7 +27,7 @@
     private val rules get() = cluster.rules
     private val routes =
         cluster.nodes.map { node ->
-            Routes({ node.deliver(it) }, { true }, MAX_WAITING_REQUESTS, NO_CONNECTION_LIMITS) { cluster.now }
+            Routes({ node.deliver(it) }, { true }, MAX_WAITING_REQUESTS, NO_CONNECTION_LIMITS, MemoryBudget()) { cluster.now }
         }
 
     /** Number of answers by kind of request and status, such as `poll 200`. */
--- a/src/test/kotlin/mintpick/users/RoutesTest.kt
+++ b/src/test/kotlin/mintpick/users/RoutesTest.kt
@@ -1,5 +1,6 @@
 package mintpick.users
 
+import mintpick.core.MemoryBudget
 import mintpick.core.SECOND
 import mintpick.engine.runtime.Event
 import mintpick.net.Answer
@@ -21,7 +22,8 @@
     private var now = 0L
     private val events = ArrayList<Event>()
     private val responses = ArrayList<Response>()
-    private val routes = Routes({ events.add(it) }, { true }, maxUserRequests = 3, ConnectionLimits(4, 2, 2, 15 * SECOND)) { now }
+    private val routes =
+        Routes({ events.add(it) }, { true }, maxUserRequests = 3, ConnectionLimits(4, 2, 2, 15 * SECOND), MemoryBudget()) { now }
 
     private fun send(
         method: Method,
@@ -111,6 +113,40 @@
         assertEquals(1, responses.size)
     }
 
+    /** Decoded submissions that waited for the event loop could fill the heap. */
+    @Test
+    fun `submissions that need too much memory are refused at once with Retry-After, and polls and heartbeats are not`() {
+        val large = submission("\"x\",".repeat(15_000))
+        val memory = MemoryBudget(heapBytes = 40L * 1024 * 1024)
+        val routes = Routes({ events.add(it) }, { true }, maxUserRequests = 100, ConnectionLimits(4, 2, 2, 15 * SECOND), memory) { now }
+        val post = { path: String, body: String -> routes.api(Request(Method.POST, path).body(MemoryBody(body))) { responses += it } }
+        repeat(10) { post("/api/jobs", large) }
+        val accepted = events.size
+        assertTrue(accepted in 1..9, "$accepted submissions are waiting")
+        assertTrue(responses.all { it.status.code == 503 && it.header("Retry-After") != null })
+        post("/checkin", heartbeat)
+        routes.api(Request(Method.GET, "/api/jobs/req-000001")) { responses += it }
+        assertEquals(accepted + 2, events.size)
+        // Answers release the memory.
+        events.filterIsInstance<Event.Submit>().forEach { it.reply.answer(Answer.json(201, "{}")) }
+        post("/api/jobs", large)
+        assertEquals(accepted + 3, events.size)
+    }
+
+    @Test
+    fun `malformed submissions and heartbeats release their memory`() {
+        repeat(2_000) {
+            send(Method.POST, "/api/jobs", "[" + "1,".repeat(20_000) + "1]")
+            send(Method.POST, "/checkin", "{" + "\"a\":1,".repeat(5_000) + "}")
+        }
+        assertEquals(setOf(400), responses.map { it.status.code }.toSet())
+    }
+
+    private fun submission(types: String) =
+        """{"id":"req-000001","sort":"a","crew":"red","shape":"array","rank":"high","pieces":1,"vcpus":1.0,"cards":0.0,"mem_gb":1.0,""" +
+            """"bundle":"i","pull_gb":1.0,"breeds":[$types"small"],"together":false,"spread":false,"windfall":true,"guess_s":1.0,""" +
+            """"mark_every_s":0.0,"mark_cost_s":0.0}"""
+
     /** The body limit of the public API rejected hints of large fleets, so that their senders seemed to send no hints. */
     @Test
     fun `a hint larger than the body limit of the public API is accepted`() {
