Load all records when the changes that a controller missed are too long for its memory

The protocol sets no limit for a watch answer. One of more than 16 MB was truncated, read as malformed and requested again for good, so that the controller could not answer a poll any more; one of less took several times its bytes while it was decoded, on top of the whole answer as bytes and as text, with a heap of 96 MB.

Now an answer of more than a 32nd of the heap (3 MB) is not kept, and a watch answer of that kind counts as one whose changes are no longer available: the records are loaded by pages, which the protocol limits to 512 KiB.

--- a/src/main/kotlin/mintpick/cli/ClassDataTraining.kt
+++ b/src/main/kotlin/mintpick/cli/ClassDataTraining.kt
@@ -27,7 +27,7 @@
     private const val ROUNDS = 4
     private const val ROUND_INTERVAL_MS = 625L
     private const val EVENT_LOOP_STOP_TIMEOUT_MS = 1_000L
-    private val CALLS = CallLimits(agentCalls = 2, suspectAgentCalls = 2, keptConnections = 8)
+    private val CALLS = CallLimits(agentCalls = 2, suspectAgentCalls = 2, keptConnections = 8, MemoryBudget().answerBytes)
     private val LIMITS =
         ServiceLimits(apiThreads = 4, peerApiThreads = 2, SocketBudget(SocketBudget.MIN_SOCKETS, peers = 0), idleS = 15, MemoryBudget())
 
--- a/src/main/kotlin/mintpick/cli/Service.kt
+++ b/src/main/kotlin/mintpick/cli/Service.kt
@@ -50,7 +50,11 @@
     private val sockets = limits.sockets
     private val connectionLimits =
         ConnectionLimits(sockets.agents, sockets.keptAgents, sockets.users, limits.idleS * SECOND + JdkServer.IDLE_CHECK_MS * MILLI)
-    private val caller = HttpCaller(CallLimits(sockets.agentCalls, sockets.suspectAgentCalls, sockets.keptCalls), ::enqueueOutcome)
+    private val caller =
+        HttpCaller(
+            CallLimits(sockets.agentCalls, sockets.suspectAgentCalls, sockets.keptCalls, limits.memory.answerBytes),
+            ::enqueueOutcome,
+        )
     private val eventLoop: EventLoop =
         EventLoop(Engine(settings, operators, random, limits.memory), caller::start, ::monotonicUs, ::wallClockUs)
     private val routes =
--- a/src/main/kotlin/mintpick/net/Calls.kt
+++ b/src/main/kotlin/mintpick/net/Calls.kt
@@ -51,11 +51,16 @@
 
 /** Outcome of a call. [NotSent] means that the request has no effect; after [Unanswered] it may still take effect. */
 sealed interface Outcome {
-    /** A complete answer was received, with any [status]. */
+    /** An answer was received, with any [status]. */
     class Answered(
         val status: Int,
         val body: ByteArray,
+        /** Whether the body was longer than the memory allows. [body] is empty then. */
+        val isTooLong: Boolean,
     ) : Outcome {
+        /** A complete answer. */
+        constructor(status: Int, body: ByteArray) : this(status, body, isTooLong = false)
+
         /** Returns the body decoded as UTF-8, with malformed bytes replaced by the replacement character. */
         fun text(): String = body.decodeToString()
     }
--- a/src/main/kotlin/mintpick/net/HttpCaller.kt
+++ b/src/main/kotlin/mintpick/net/HttpCaller.kt
@@ -7,16 +7,18 @@
 import java.util.concurrent.RejectedExecutionException
 
 /**
- * Largest numbers of an [HttpCaller]'s connections to agents.
+ * Limits of an [HttpCaller].
  *
  * @param agentCalls calls to agents in progress
  * @param suspectAgentCalls calls in progress to agents that have not answered recently
  * @param keptConnections connections to all targets that are kept for further calls
+ * @param maxAnswerBytes longest body of an answer in bytes; a longer one is not kept
  */
 class CallLimits(
     val agentCalls: Int,
     val suspectAgentCalls: Int,
     val keptConnections: Int,
+    val maxAnswerBytes: Int,
 )
 
 /**
@@ -27,7 +29,7 @@
  * @param open opens a connection to an address within a number of milliseconds
  */
 class HttpCaller internal constructor(
-    limits: CallLimits,
+    private val limits: CallLimits,
     private val onOutcome: (id: Long, outcome: Outcome) -> Unit,
     private val open: (address: String, timeoutMs: Int) -> PooledConnection,
 ) {
@@ -95,7 +97,7 @@
         try {
             val used = idle.acquire(call.target.address) ?: connect(call)
             connection = used
-            val answer = used.exchange(call)
+            val answer = used.exchange(call, limits.maxAnswerBytes)
             if (used.isReusable) idle.release(call.target.address, used) else used.close()
             return answer
         } catch (e: IOException) {
--- a/src/main/kotlin/mintpick/net/PooledConnection.kt
+++ b/src/main/kotlin/mintpick/net/PooledConnection.kt
@@ -27,12 +27,15 @@
     var idleSinceNs = 0L
 
     /**
-     * Sends [call] and reads the answer. After an exception it is unknown whether the call was executed.
+     * Sends [call] and reads the answer, of which at most [maxAnswerBytes] bytes are kept. After an exception it is unknown whether the call was executed.
      *
      * @throws IOException if the connection fails or the answer times out
      * @throws org.apache.hc.core5.http.HttpException if the answer is malformed
      */
-    fun exchange(call: Call): Outcome.Answered {
+    fun exchange(
+        call: Call,
+        maxAnswerBytes: Int,
+    ): Outcome.Answered {
         isReusable = false
         connection.setSocketTimeout(Timeout.ofMilliseconds(call.timeoutUs / MILLI))
         val request = requestOf(call)
@@ -41,10 +44,13 @@
         connection.flush()
         val response = connection.receiveResponseHeader()
         connection.receiveResponseEntity(response)
-        val answer = response.entity?.let { EntityUtils.toByteArray(it, MAX_ANSWER_BYTES) } ?: ByteArray(0)
+        val answer = response.entity?.let { EntityUtils.toByteArray(it, maxAnswerBytes + 1) } ?: ByteArray(0)
         val closes = response.getFirstHeader("Connection")?.value?.equals("close", ignoreCase = true) == true
-        // The rest of a truncated answer may still be unread on the connection.
-        isReusable = !closes && answer.size < MAX_ANSWER_BYTES
+        if (answer.size > maxAnswerBytes) {
+            // The rest of the answer is still unread on the connection.
+            return Outcome.Answered(response.code, ByteArray(0), isTooLong = true)
+        }
+        isReusable = !closes
         return Outcome.Answered(response.code, answer)
     }
 
@@ -74,9 +80,6 @@
     companion object {
         private val LOG = LoggerFactory.getLogger(PooledConnection::class.java)
         private const val BUFFER_BYTES = 2048
-
-        /** Larger than any page or watch answer of the state store. Longer answers are truncated, which makes them malformed. */
-        private const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
         private val CONFIG = Http1Config.custom().setBufferSize(BUFFER_BYTES).build()
 
         /**
--- a/src/main/kotlin/mintpick/store/StateProtocol.kt
+++ b/src/main/kotlin/mintpick/store/StateProtocol.kt
@@ -108,8 +108,17 @@
     /** Reads the answer to [page]. */
     fun readPage(outcome: Outcome): StateResult<ItemPage> = read(outcome, ItemPage.serializer())
 
-    /** Reads the answer to [watch]. */
-    fun readWatch(outcome: Outcome): StateResult<EventPage> = read(outcome, EventPage.serializer())
+    /**
+     * Reads the answer to [watch]. The state store does not limit its length; one that is too long for the memory counts as one whose
+     * changes are no longer available, since reading all records by pages needs less memory.
+     */
+    fun readWatch(outcome: Outcome): StateResult<EventPage> {
+        if (outcome is Outcome.Answered && outcome.isTooLong) {
+            LOG.warn("watch answer too long for the memory, loading all records instead")
+            return StateResult.Gone(GONE)
+        }
+        return read(outcome, EventPage.serializer())
+    }
 
     /** Reads the answer to [grant]. */
     fun readLease(outcome: Outcome): StateResult<LeaseAnswer> = read(outcome, LeaseAnswer.serializer())
--- a/src/test/kotlin/mintpick/engine/EventLoopTest.kt
+++ b/src/test/kotlin/mintpick/engine/EventLoopTest.kt
@@ -94,7 +94,7 @@
         val engine = CallingEngine(count = 4_000)
         val isOpen = CountDownLatch(1)
         lateinit var loop: EventLoop
-        val limits = CallLimits(agentCalls = 48, suspectAgentCalls = 32, keptConnections = 8)
+        val limits = CallLimits(agentCalls = 48, suspectAgentCalls = 32, keptConnections = 8, maxAnswerBytes = 100_000)
         val caller =
             HttpCaller(limits, { id, outcome -> loop.put(Event.CallDone(id, outcome)) }, { _, _ ->
                 isOpen.await()
--- a/src/test/kotlin/mintpick/net/HttpCallerTest.kt
+++ b/src/test/kotlin/mintpick/net/HttpCallerTest.kt
@@ -18,7 +18,7 @@
  */
 class HttpCallerTest {
     private val outcomes = ArrayBlockingQueue<Outcome>(100)
-    private val limits = CallLimits(agentCalls = 8, suspectAgentCalls = 4, keptConnections = 3)
+    private val limits = CallLimits(agentCalls = 8, suspectAgentCalls = 4, keptConnections = 3, maxAnswerBytes = 100_000)
     private val caller = HttpCaller(limits) { _, outcome -> outcomes.put(outcome) }
 
     /**
@@ -74,6 +74,23 @@
 
     private fun text(outcome: Outcome): String = (outcome as Outcome.Answered).text()
 
+    /** The state store limits the length of a page, but not that of a watch answer. */
+    @Test
+    fun `an answer that is too long for the memory is reported as such, and its connection is closed`() {
+        Server(2) { n ->
+            val body = "x".repeat(if (n == 1) limits.maxAnswerBytes + 1 else limits.maxAnswerBytes)
+            "HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n$body"
+        }.use { server ->
+            val tooLong = call(server) as Outcome.Answered
+            assertTrue(tooLong.isTooLong)
+            assertEquals(0, tooLong.body.size)
+            val longest = call(server) as Outcome.Answered
+            assertFalse(longest.isTooLong)
+            assertEquals(limits.maxAnswerBytes, longest.body.size)
+            assertEquals(2, server.connections.get())
+        }
+    }
+
     @Test
     fun `a connection is reused for successive calls until the server closes it`() {
         Server(2) { n -> "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n${if (n == 2) "Connection: close\r\n" else ""}\r\n#$n" }.use { server ->
--- a/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
+++ b/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
@@ -180,6 +180,9 @@
     /** Calls whose outcome never reaches their controller, although they are carried out. */
     var losesOutcome: (Node, Call) -> Boolean = { _, _ -> false }
 
+    /** Longest answer that a controller keeps. */
+    var maxAnswerBytes = Int.MAX_VALUE
+
     /** Called with the job id when the last task of a job completes. */
     var onJobCompleted: (String) -> Unit = {}
 
@@ -277,12 +280,17 @@
         val reply: (Int, ByteArray) -> Unit = { status, body ->
             messageDelays.commandAnswered(call, status)
             repeatedRequests.onAnswered(from, call, status)
-            if (!occurs(faultRates.lostAnswer)) after(networkDelay() + answerDelay(from, call)) { complete(Outcome.Answered(status, body)) }
+            if (!occurs(faultRates.lostAnswer)) after(networkDelay() + answerDelay(from, call)) { complete(answered(status, body)) }
         }
         val arrival: ((Int, ByteArray) -> Unit) -> Unit = { answered -> deliverCall(call, answered) { complete(Outcome.NotSent) } }
         after(travel) { if (call.target is Target.State) stateStoreFaults.intercept(from, call, reply, arrival) else arrival(reply) }
     }
 
+    private fun answered(
+        status: Int,
+        body: ByteArray,
+    ) = if (body.size > maxAnswerBytes) Outcome.Answered(status, ByteArray(0), isTooLong = true) else Outcome.Answered(status, body)
+
     private fun peersCut(
         from: Node,
         to: Target,
