Draw nothing from the answer of another machine than the one that was called

Cause: the status in an answer to a direct call was applied to the machine that was called, whatever name it bears.

Now the name is compared where answers are read, and a view refuses the status of another machine whichever way it comes. Another name counts as no answer, is logged once for each machine and counted; the address is not called again for that machine until it shows one, nor is an address that a later machine has.

--- a/src/main/kotlin/mintpick/agents/AgentProtocol.kt
+++ b/src/main/kotlin/mintpick/agents/AgentProtocol.kt
@@ -1,6 +1,7 @@
 package mintpick.agents
 
 import mintpick.core.MILLI
+import mintpick.core.MachineId
 import mintpick.core.Micros
 import mintpick.net.Call
 import mintpick.net.Outcome
@@ -37,6 +38,14 @@
         /** The agent did not receive the request and never will. */
         data object NotSent : Result
 
+        /**
+         * Another machine, [machine], has answered, because the address of the called one has been given to it. The called machine did
+         * not answer; nothing in the answer is about it.
+         */
+        data class AnsweredByOther(
+            val machine: String,
+        ) : Result
+
         /** Unknown outcome: the request timed out or the answer is malformed. The commands may have been executed, or may be later. */
         data object Unknown : Result
     }
@@ -61,19 +70,30 @@
         suspect: Boolean = false,
     ): Call = Call(Target.Worker(address, suspect), "GET", Paths.INSPECT, timeoutUs = PROBE_TIMEOUT)
 
-    /** Converts the outcome of a call built by [commands] or [inspect]. */
-    fun read(outcome: Outcome): Result =
+    /** Converts the outcome of a call to [machine] built by [commands] or [inspect]. */
+    fun read(
+        outcome: Outcome,
+        machine: MachineId,
+    ): Result =
         when (outcome) {
             Outcome.NotSent -> Result.NotSent
             Outcome.Unanswered -> Result.Unknown
-            is Outcome.Answered ->
-                when (outcome.status) {
-                    OK -> decode(outcome)?.let { Result.Executed(it) } ?: Result.Unknown
-                    CONFLICT -> Result.Refused(decode(outcome))
-                    else -> Result.Refused(null)
-                }
+            is Outcome.Answered -> readAnswer(outcome, machine)
         }
 
+    private fun readAnswer(
+        answer: Outcome.Answered,
+        machine: MachineId,
+    ): Result {
+        val report = if (answer.status == OK || answer.status == CONFLICT) decode(answer) else null
+        return when {
+            report != null && report.machine != machine.text -> Result.AnsweredByOther(report.machine)
+            answer.status != OK -> Result.Refused(report)
+            report != null -> Result.Executed(report)
+            else -> Result.Unknown
+        }
+    }
+
     /** Parses the agent's state, or returns null: a malformed answer must not fail the event loop's step that reads it. */
     private fun decode(answer: Outcome.Answered): MachineReport? =
         try {
--- a/src/main/kotlin/mintpick/core/MachineView.kt
+++ b/src/main/kotlin/mintpick/core/MachineView.kt
@@ -126,7 +126,8 @@
 
     /**
      * Applies the status [report], received at [now]. [isDirectAnswer] is true for the answer to a command or probe and false for a
-     * heartbeat. Returns false and changes nothing if a status at least as new is already known, as delayed packets may cause.
+     * heartbeat. Returns false and changes nothing if a status at least as new is already known, as delayed packets may cause, or if
+     * the status is that of another machine.
      *
      * Between two statuses of one epoch with the same token the agent executes starts of one controller only. If it is this one,
      * [unexplainedAttempts] must be empty: a start that could still be executed was not accounted for.
@@ -137,6 +138,7 @@
         isDirectAnswer: Boolean,
     ): Boolean {
         val before = latestStatus
+        if (report.machine != id.text) return false
         if (before != null && !isNewer(report, before.agentEpoch, before.seq)) return false
         latestStatus = report
         lastStatusUs = now
--- a/src/main/kotlin/mintpick/engine/agents/AgentIndex.kt
+++ b/src/main/kotlin/mintpick/engine/agents/AgentIndex.kt
@@ -45,6 +45,12 @@
     private val retainedTasks = RetainedTaskIndex()
     private val updatedMachines = HashSet<MachineId>()
 
+    /** The newest machine that has shown an address, by address. Names of machines are in the order in which they were rented. */
+    private val newestByAddress = HashMap<String, MachineId>()
+
+    /** Addresses at which another machine has answered, by the machine that was called. */
+    private val addressesOfOthers = HashMap<MachineId, String>()
+
     /** Attempts whose start has been logged. Filled only while debug logging is enabled. */
     private val loggedAttempts = HashSet<AttemptId>()
     private var lastControlChangeCount = -1L
@@ -77,9 +83,31 @@
      */
     fun markTerminated(machine: MachineId) {
         tombstones += machine
-        viewsByMachine.remove(machine)
+        viewsByMachine.remove(machine)?.latestStatus?.let { newestByAddress.remove(it.address, machine) }
         controlPeriods.remove(machine)
         retainedTasks.remove(machine)
+        addressesOfOthers.remove(machine)
+    }
+
+    /** Records that [other] has answered a call to [machine] at [address], which is not called again until [machine] shows an address. */
+    fun recordAnswerOfOther(
+        machine: MachineId,
+        address: String,
+        other: String,
+    ) {
+        context.metrics.recordAnswerOfOther()
+        if (addressesOfOthers.put(machine, address) != null) return
+        LOG.warn("answer of another machine called={} answered={} address={}", machine.text, other, address)
+    }
+
+    /** Whether [address], the last known one of [machine], is that of another machine: of one that has answered there, or of a newer one. */
+    fun isAddressOfOther(
+        machine: MachineId,
+        address: String,
+    ): Boolean {
+        if (addressesOfOthers[machine] == address) return true
+        val newest = listOfNotNull(newestByAddress[address], cache.newestMachineAt(address)).maxByOrNull { it.text }
+        return newest != null && newest.text > machine.text
     }
 
     /** Indexes of the tasks of [job] that can't start on a machine yet, because its agent lists an earlier attempt, by machine. */
@@ -96,6 +124,8 @@
         report: MachineReport,
     ) {
         updatedMachines += view.id
+        addressesOfOthers.remove(view.id)
+        newestByAddress.merge(report.address, view.id) { before, added -> if (added.text > before.text) added else before }
         recordOtherToken(view)
         recordUnexplainedAttempts(view)
         retainedTasks.update(view)
@@ -233,6 +263,7 @@
             }
         }
         controlPeriods.keys.retainAll(cache.machines.keys)
+        addressesOfOthers.keys.retainAll(cache.machines.keys)
         return ControlUpdate.Changed(acquired)
     }
 
--- a/src/main/kotlin/mintpick/engine/agents/CommandDispatcher.kt
+++ b/src/main/kotlin/mintpick/engine/agents/CommandDispatcher.kt
@@ -114,7 +114,7 @@
         result: AgentProtocol.Result,
     ): Boolean {
         when (result) {
-            AgentProtocol.Result.Unknown -> starts.forEach(view::recordStartTimeout)
+            AgentProtocol.Result.Unknown, is AgentProtocol.Result.AnsweredByOther -> starts.forEach(view::recordStartTimeout)
             is AgentProtocol.Result.Executed -> starts.forEach(view::recordStartExecuted)
             is AgentProtocol.Result.Refused, AgentProtocol.Result.NotSent -> starts.forEach(view::recordStartNotExecuted)
         }
@@ -129,7 +129,7 @@
         when (result) {
             is AgentProtocol.Result.Executed -> result.report
             is AgentProtocol.Result.Refused -> result.report
-            AgentProtocol.Result.NotSent, AgentProtocol.Result.Unknown -> null
+            is AgentProtocol.Result.AnsweredByOther, AgentProtocol.Result.NotSent, AgentProtocol.Result.Unknown -> null
         }
 
     private fun applyStatus(
@@ -160,6 +160,7 @@
         then: (Boolean) -> Unit,
     ) {
         val address = addressOf(view)
+        if (address == null) recordUncallable(view)
         if (address == null || isInFlight(view.id)) return then(false)
         startCall(view.id, AgentProtocol.inspect(address, reachability.isSuspect(view.id))) { result ->
             val report = (result as? AgentProtocol.Result.Executed)?.report
@@ -172,7 +173,15 @@
         }
     }
 
-    private fun addressOf(view: MachineView): String? = view.latestStatus?.address ?: cache.machines[view.id]?.record?.address
+    /** The address of a machine; null if it is unknown, or if another machine answers there. */
+    private fun addressOf(view: MachineView): String? = lastAddressOf(view)?.takeUnless { index.isAddressOfOther(view.id, it) }
+
+    private fun lastAddressOf(view: MachineView): String? = view.latestStatus?.address ?: cache.machines[view.id]?.record?.address
+
+    /** Counts a machine that can't be called, because another one has its address, like one that does not answer. */
+    private fun recordUncallable(view: MachineView) {
+        if (lastAddressOf(view) != null && reachability.mayRetry(view.id)) reachability.onCallFailed(view.id)
+    }
 
     private fun isInFlight(machine: MachineId): Boolean = callsByMachine[machine]?.isInFlight == true
 
@@ -201,7 +210,9 @@
         context.call(call) { outcome ->
             calls.isInFlight = false
             if (isSuspect) suspectCallsInFlight--
-            val isAnswered = onResult(AgentProtocol.read(outcome))
+            val result = AgentProtocol.read(outcome, machine)
+            if (result is AgentProtocol.Result.AnsweredByOther) index.recordAnswerOfOther(machine, call.target.address, result.machine)
+            val isAnswered = onResult(result)
             if (isAnswered) reachability.onCallAnswered(machine) else reachability.onCallFailed(machine)
         }
     }
--- a/src/main/kotlin/mintpick/engine/cache/LocalCache.kt
+++ b/src/main/kotlin/mintpick/engine/cache/LocalCache.kt
@@ -74,6 +74,9 @@
     /** All known machines. */
     val machines: Map<MachineId, KnownMachine> get() = machineCache.machines
 
+    /** The listed machine at [address]; the one that was rented last if several have been there. Null if none is known. */
+    fun newestMachineAt(address: String): MachineId? = machineCache.newestAt(address)
+
     /** Machine types by name; empty until they are known. */
     val machineTypes: Map<String, MachineType> get() = machineCache.machineTypes
 
--- a/src/main/kotlin/mintpick/engine/cache/MachineCache.kt
+++ b/src/main/kotlin/mintpick/engine/cache/MachineCache.kt
@@ -17,6 +17,9 @@
     private val changed: MutableSet<MachineId>,
 ) {
     private val machinesById = HashMap<MachineId, KnownMachine>()
+
+    /** Names of machines are in the order in which they were rented. */
+    private val newestByAddress = HashMap<String, MachineId>()
     private val idsByList = HashMap<Keys.Subject.MachineList, Set<MachineId>>()
     private val typePieces = TreeMap<Int, List<MachineType>>()
     private var cachedTotalCpus = 0.0
@@ -66,7 +69,7 @@
         val after = value?.let(RecordCodec::decodeMachineList).orEmpty()
         val removed = idsByList[list].orEmpty().filter { it !in after && !isInOtherList(it, list) }
         for (id in removed) {
-            machinesById.remove(id)
+            machinesById.remove(id)?.let { newestByAddress.remove(it.record.address, id) }
             changed += id
         }
         for ((id, record) in after) update(id, record)
@@ -90,9 +93,13 @@
         val known = machinesById[id]
         if (known != null && known.record == record && !known.legacy) return
         machinesById[id] = KnownMachine(id, record)
+        newestByAddress.merge(record.address, id) { before, added -> if (added.text > before.text) added else before }
         changed += id
     }
 
+    /** The machine at [address]; the one that was rented last if several have been there. Null if none is known. */
+    fun newestAt(address: String): MachineId? = newestByAddress[address]
+
     /** Applies a write of a piece of the machine types, or its deletion if [value] is null. */
     fun applyTypes(
         piece: Int,
--- a/src/main/kotlin/mintpick/engine/runtime/EngineMetrics.kt
+++ b/src/main/kotlin/mintpick/engine/runtime/EngineMetrics.kt
@@ -76,6 +76,7 @@
     private var unprovenExpiries = 0L
     private var mostRetainedAttempts = 0
     private var unexplainedAttempts = 0L
+    private var answersOfOthers = 0L
 
     /** Records the end of a read that took [durationUs]. */
     fun recordRead(
@@ -118,13 +119,19 @@
         unexplainedAttempts += count
     }
 
+    /** Records that another machine than the one that was called has answered. */
+    fun recordAnswerOfOther() {
+        answersOfOthers++
+    }
+
     /** Returns a line for the log with the values since the last call, and resets them. */
     fun takeReport(): String {
         val readTexts = reads.map { (kind, it) -> "${kind.label()}=${it.served}/${it.failed} longest_ms=${it.longestUs / MILLI}" }
         val answers = "heartbeats ${textOf(heartbeats)} withheld_starts ${textOf(withheldStarts)}"
         val report =
             "reads ${readTexts.joinToString(" ")} $answers other_tokens=$otherTokens unproven_expiries=$unprovenExpiries " +
-                "most_retained_attempts=$mostRetainedAttempts unexplained_attempts=$unexplainedAttempts"
+                "most_retained_attempts=$mostRetainedAttempts unexplained_attempts=$unexplainedAttempts " +
+                "answers_of_others=$answersOfOthers"
         reads.clear()
         heartbeats.clear()
         withheldStarts.clear()
@@ -132,6 +139,7 @@
         unprovenExpiries = 0
         mostRetainedAttempts = 0
         unexplainedAttempts = 0
+        answersOfOthers = 0
         return report
     }
 
--- a/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
+++ b/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
@@ -362,13 +362,16 @@
         reply(status, WireJson.encodeToString(MachineReport.serializer(), report).encodeToByteArray())
     }
 
+    /** The address of a machine that boots, if it is not a new one. */
+    var reusedAddress: (String) -> String? = { null }
+
     /** Starts the agent of a rented machine, which sends its first heartbeat to a random controller. */
     fun boot(
         id: String,
         request: RentalRequest,
     ) {
         val number = id.takeLast(4).toInt()
-        val address = "10.1.${number / 250}.${number % 250}:9000"
+        val address = reusedAddress(id) ?: "10.1.${number / 250}.${number % 250}:9000"
         val agent = SimulatedAgent(id, address, request.type, request.zone, request.spot, nodes[0].settings.leaseUs, this, now)
         agents[id] = agent
         heartbeats.heartbeatLoop(agent, random.nextInt(nodes.size), 0)
