Answer submissions that are nested too deeply, and whatever a handler throws

Cause: the parser uses stack in proportion to the depth; a StackOverflowError passed every handler of the reading thread.

--- a/src/main/kotlin/mintpick/agents/AgentProtocol.kt
+++ b/src/main/kotlin/mintpick/agents/AgentProtocol.kt
@@ -10,6 +10,7 @@
 import mintpick.wire.MachineReport
 import mintpick.wire.Paths
 import mintpick.wire.WireJson
+import mintpick.wire.decodeJson
 import org.slf4j.LoggerFactory
 
 /** Builds the requests that controllers send directly to agents, and parses the answers. Stateless and thread-safe. */
@@ -97,7 +98,7 @@
     /** Parses the agent's state, or returns null: a malformed answer must not fail the event loop's step that reads it. */
     private fun decode(answer: Outcome.Answered): MachineReport? =
         try {
-            WireJson.decodeFromString(MachineReport.serializer(), answer.text())
+            decodeJson(MachineReport.serializer(), answer.text())
         } catch (e: IllegalArgumentException) {
             // Covers SerializationException and the checks in the constructors of the decoded classes.
             LOG.debug("agent answer malformed status={} bytes={}", answer.status, answer.body.size, e)
--- a/src/main/kotlin/mintpick/cli/Service.kt
+++ b/src/main/kotlin/mintpick/cli/Service.kt
@@ -96,9 +96,7 @@
     private fun expireRequestsPeriodically() {
         try {
             while (true) {
-                routes.expireOverdueRequests()
-                healthLog.tick()
-                reportIfDue()
+                expireSafely()
                 Thread.sleep(REQUEST_EXPIRY_INTERVAL_MS)
             }
         } catch (_: InterruptedException) {
@@ -107,15 +105,27 @@
         }
     }
 
+    /** Logs what is thrown: without this thread, requests would wait for their answers for ever. */
+    private fun expireSafely() {
+        try {
+            routes.expireOverdueRequests()
+            healthLog.tick()
+            reportIfDue()
+        } catch (e: RuntimeException) {
+            LOG.error("expiry of requests failed", e)
+        }
+    }
+
     private fun reportIfDue() {
         if (monotonicUs() < nextReportUs) return
         nextReportUs = monotonicUs() + REPORT_INTERVAL
         LOG.info(
-            "connections limit={} {} own {} server {}",
+            "connections limit={} {} own {} server {} failed_requests={}",
             sockets.maxSockets,
             routes.takeConnectionReport(),
             caller.connectionReport(),
             apiServer.waits.takeReport(),
+            apiServer.failures + peerApiServer.failures,
         )
         val runtime = Runtime.getRuntime()
         val usedBytes = runtime.totalMemory() - runtime.freeMemory()
--- a/src/main/kotlin/mintpick/cloud/CloudProtocol.kt
+++ b/src/main/kotlin/mintpick/cloud/CloudProtocol.kt
@@ -11,6 +11,7 @@
 import mintpick.wire.MachineTypes
 import mintpick.wire.RentalRequest
 import mintpick.wire.WireJson
+import mintpick.wire.decodeJson
 import org.slf4j.LoggerFactory
 
 /**
@@ -93,7 +94,7 @@
         serializer: KSerializer<T>,
     ): Result<T> =
         try {
-            Result.Ok(WireJson.decodeFromString(serializer, answer.text()))
+            Result.Ok(decodeJson(serializer, answer.text()))
         } catch (e: IllegalArgumentException) {
             // Covers SerializationException and the checks in the constructors of the decoded classes.
             LOG.debug("cloud answer malformed type={} bytes={}", serializer.descriptor.serialName, answer.body.size, e)
--- a/src/main/kotlin/mintpick/net/JdkServer.kt
+++ b/src/main/kotlin/mintpick/net/JdkServer.kt
@@ -22,6 +22,7 @@
 import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.ThreadPoolExecutor
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 
 /**
  * HTTP server on one address: the JDK's server with http4k's messages. A request that waits for its response occupies a connection
@@ -42,6 +43,11 @@
     private val writers = pool("reply", maxOf(1, threads / READERS_PER_WRITER))
     private var server: HttpServer? = null
 
+    private val failureCount = AtomicLong()
+
+    /** Number of requests whose handling has thrown an exception since the start. */
+    val failures: Long get() = failureCount.get()
+
     /** How long requests waited for a reader thread, and answers for a writer thread. */
     val waits = ServerWaits()
 
@@ -54,7 +60,7 @@
         val bound = HttpServer.create(InetSocketAddress(address.host, address.port), BACKLOG)
         server = bound
         bound.executor = Executor { task -> queueRequest(task) }
-        bound.createContext("/") { exchange -> handle(exchange, handler) }
+        bound.createContext("/") { exchange -> handleSafely(exchange, handler) }
         bound.start()
     }
 
@@ -74,6 +80,31 @@
         }
     }
 
+    /** Answers with 500 and closes the connection if handling the request fails, whatever is thrown. */
+    private fun handleSafely(
+        exchange: HttpExchange,
+        handler: LaterHandler,
+    ) {
+        try {
+            handle(exchange, handler)
+        } catch (e: IOException) {
+            logFailure(exchange, e)
+            exchange.close()
+        } catch (e: RuntimeException) {
+            answerFailure(exchange, e)
+        } catch (e: StackOverflowError) {
+            answerFailure(exchange, e)
+        }
+    }
+
+    private fun answerFailure(
+        exchange: HttpExchange,
+        cause: Throwable,
+    ) {
+        LOG.error("request failed path={} failures={}", exchange.requestURI, failureCount.incrementAndGet(), cause)
+        respond(exchange, Response(Status.INTERNAL_SERVER_ERROR).header("Connection", "close"))
+    }
+
     private fun handle(
         exchange: HttpExchange,
         handler: LaterHandler,
--- a/src/main/kotlin/mintpick/store/SpecPieces.kt
+++ b/src/main/kotlin/mintpick/store/SpecPieces.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.json.JsonPrimitive
 import mintpick.wire.JobSpec
 import mintpick.wire.WireJson
+import mintpick.wire.decodeJson
 import java.io.ByteArrayInputStream
 import java.io.ByteArrayOutputStream
 import java.io.IOException
@@ -41,7 +42,7 @@
     fun join(pieces: Collection<String>): JobSpec =
         decodingRecord {
             val compressed = Base64.getDecoder().decode(pieces.joinToString(""))
-            WireJson.decodeFromString(JobSpec.serializer(), inflate(compressed))
+            decodeJson(JobSpec.serializer(), inflate(compressed))
         }
 
     private fun inflate(compressed: ByteArray): String =
--- a/src/main/kotlin/mintpick/store/StateProtocol.kt
+++ b/src/main/kotlin/mintpick/store/StateProtocol.kt
@@ -14,6 +14,7 @@
 import mintpick.wire.Transaction
 import mintpick.wire.TransactionAnswer
 import mintpick.wire.WireJson
+import mintpick.wire.decodeJson
 import org.slf4j.LoggerFactory
 
 /** How a transaction ended. */
@@ -186,7 +187,7 @@
     private fun <T> decode(
         outcome: Outcome.Answered,
         serializer: KSerializer<T>,
-    ): T = WireJson.decodeFromString(serializer, outcome.text())
+    ): T = decodeJson(serializer, outcome.text())
 
     private fun <T> encode(
         serializer: KSerializer<T>,
--- a/src/main/kotlin/mintpick/users/Routes.kt
+++ b/src/main/kotlin/mintpick/users/Routes.kt
@@ -16,8 +16,8 @@
 import mintpick.wire.MalformedException
 import mintpick.wire.Paths
 import mintpick.wire.Submission
-import mintpick.wire.WireJson
 import mintpick.wire.decodeHint
+import mintpick.wire.decodeJson
 import org.http4k.core.Method
 import org.http4k.core.Request
 import org.slf4j.LoggerFactory
@@ -209,7 +209,7 @@
         }
         var keptBytes = 0L
         try {
-            val heartbeat = WireJson.decodeFromString(MachineReport.serializer(), body.decodeToString())
+            val heartbeat = decodeJson(MachineReport.serializer(), body.decodeToString())
             keptBytes = body.size * KEPT_HEARTBEAT_BYTES_PER_BYTE
             unanswered.enqueue(releasing(heartbeatMemory, keptBytes, respond)) { reply -> Event.Report(heartbeat, reply) }
         } catch (e: IllegalArgumentException) {
--- a/src/main/kotlin/mintpick/wire/Submission.kt
+++ b/src/main/kotlin/mintpick/wire/Submission.kt
@@ -43,7 +43,7 @@
     fun parse(body: String): JobSpec {
         val root =
             try {
-                WireJson.parseToJsonElement(body)
+                decodeJson(JsonElement.serializer(), body)
             } catch (e: IllegalArgumentException) {
                 val firstLine = e.message?.lineSequence()?.firstOrNull()
                 throw MalformedException("not JSON: ${firstLine?.take(MAX_NAME_LENGTH)}", cause = e)
