Keep messages to and from agents within 64 KiB

Cause: neither the commands in a message nor the tasks on a machine were bounded, and a status of so many tasks is longer than a heartbeat may be.

Now a machine has as many places for tasks as its status can certainly list (593 of the longest names less 128 for ended attempts), as a resource beside CPUs and memory, and a message holds as many commands as certainly fit (668), stops first; the rest follows directly. The inputs of PlacerTest name places for their machines now; its assertions are unchanged.

--- a/src/main/kotlin/mintpick/core/JobSpecExtensions.kt
+++ b/src/main/kotlin/mintpick/core/JobSpecExtensions.kt
@@ -5,7 +5,7 @@
 import mintpick.wire.Priority
 
 /** Resources that each task of the job needs. */
-val JobSpec.demand: Resources get() = Resources(cpus, gpus, memoryGb)
+val JobSpec.demand: Resources get() = Resources(cpus, gpus, memoryGb, taskPlaces = 1.0)
 
 /** Jobs that must be done before any task of this job may start. */
 val JobSpec.predecessorIds: List<JobId> get() = predecessors.orEmpty().map(::JobId)
--- a/src/main/kotlin/mintpick/core/Resources.kt
+++ b/src/main/kotlin/mintpick/core/Resources.kt
@@ -1,30 +1,38 @@
 package mintpick.core
 
+import mintpick.wire.MAX_REPORTED_TASKS
 import mintpick.wire.MachineType
 import kotlin.math.max
 import kotlin.math.min
 
-/** Amounts of CPUs, GPUs and memory. A subtraction may make them negative. */
+/**
+ * Amounts of CPUs, GPUs, memory, and places for tasks: a machine has no more of these than its agent can list in a message. A
+ * subtraction may make them negative.
+ */
 data class Resources(
     val cpus: Double,
     val gpus: Double,
     val memoryGb: Double,
+    val taskPlaces: Double = 0.0,
 ) {
     /** The sum, resource by resource. */
-    operator fun plus(other: Resources) = Resources(cpus + other.cpus, gpus + other.gpus, memoryGb + other.memoryGb)
+    operator fun plus(other: Resources) =
+        Resources(cpus + other.cpus, gpus + other.gpus, memoryGb + other.memoryGb, taskPlaces + other.taskPlaces)
 
     /** The difference, resource by resource. */
-    operator fun minus(other: Resources) = Resources(cpus - other.cpus, gpus - other.gpus, memoryGb - other.memoryGb)
+    operator fun minus(other: Resources) =
+        Resources(cpus - other.cpus, gpus - other.gpus, memoryGb - other.memoryGb, taskPlaces - other.taskPlaces)
 
     /** Every amount times [factor]. */
-    operator fun times(factor: Double) = Resources(cpus * factor, gpus * factor, memoryGb * factor)
+    operator fun times(factor: Double) = Resources(cpus * factor, gpus * factor, memoryGb * factor, taskPlaces * factor)
 
     /** Whether these amounts fit into [available], with a tolerance of [EPSILON] for rounding errors. */
     fun fits(available: Resources): Boolean {
         val cpusFit = cpus <= available.cpus + EPSILON
         val gpusFit = gpus <= available.gpus + EPSILON
         val memoryFits = memoryGb <= available.memoryGb + EPSILON
-        return cpusFit && gpusFit && memoryFits
+        val placesSuffice = taskPlaces <= available.taskPlaces + EPSILON
+        return cpusFit && gpusFit && memoryFits && placesSuffice
     }
 
     /** How many tasks of this size fit into [available], at most [MAX_COUNT]. */
@@ -33,10 +41,11 @@
         if (cpus > 0) count = min(count, (available.cpus + EPSILON) / cpus)
         if (gpus > 0) count = min(count, (available.gpus + EPSILON) / gpus)
         if (memoryGb > 0) count = min(count, (available.memoryGb + EPSILON) / memoryGb)
+        if (taskPlaces > 0) count = min(count, (available.taskPlaces + EPSILON) / taskPlaces)
         return max(0.0, min(count, MAX_COUNT)).toInt()
     }
 
-    /** The largest fraction that any of these amounts is of the same resource in [total]. */
+    /** The largest fraction that any of these amounts is of the same resource in [total]. Places for tasks don't count. */
     fun dominantShare(total: Resources): Double {
         var share = 0.0
         if (total.cpus > 0) share = max(share, cpus / total.cpus)
@@ -57,5 +66,10 @@
     }
 }
 
+/** Ended attempts that a machine's status may list beside its tasks, because they can't be forgotten yet. */
+const val MAX_RETAINED_ATTEMPTS = 128
+
+private val MAX_TASKS_PER_MACHINE = (MAX_REPORTED_TASKS - MAX_RETAINED_ATTEMPTS).toDouble()
+
 /** Resources of an empty machine of this type. */
-val MachineType.capacity: Resources get() = Resources(cpus, gpus, memoryGb)
+val MachineType.capacity: Resources get() = Resources(cpus, gpus, memoryGb, MAX_TASKS_PER_MACHINE)
--- a/src/main/kotlin/mintpick/engine/agents/AttemptRetention.kt
+++ b/src/main/kotlin/mintpick/engine/agents/AttemptRetention.kt
@@ -1,5 +1,6 @@
 package mintpick.engine.agents
 
+import mintpick.core.MAX_RETAINED_ATTEMPTS
 import mintpick.core.MachineId
 import mintpick.core.MachineView
 import mintpick.core.Micros
@@ -72,8 +73,5 @@
 
         /** Number of retained attempts on a machine from which its token is raised. */
         const val RAISE_THRESHOLD = 16
-
-        /** About a sixth of what fits into a heartbeat of 64 KiB. */
-        const val MAX_RETAINED_ATTEMPTS = 128
     }
 }
--- a/src/main/kotlin/mintpick/engine/agents/CommandDispatcher.kt
+++ b/src/main/kotlin/mintpick/engine/agents/CommandDispatcher.kt
@@ -14,6 +14,7 @@
 import mintpick.net.Call
 import mintpick.wire.Command
 import mintpick.wire.CommandBatch
+import mintpick.wire.MAX_COMMANDS
 import mintpick.wire.MachineReport
 import mintpick.wire.Verb
 
@@ -121,7 +122,9 @@
         val report = statusIn(result)
         if (report != null) applyStatus(view, report)
         val isFromOtherEpoch = result is AgentProtocol.Result.Refused && report != null && report.agentEpoch != batch.agentEpoch
-        if (takePendingPush(view.id) || isFromOtherEpoch) pushCommands(view.id)
+        // A message that is full may have left others waiting.
+        val wasFull = result is AgentProtocol.Result.Executed && batch.commands.size >= MAX_COMMANDS
+        if (takePendingPush(view.id) || isFromOtherEpoch || wasFull) pushCommands(view.id)
         return report != null
     }
 
--- a/src/main/kotlin/mintpick/engine/agents/CommandPlanner.kt
+++ b/src/main/kotlin/mintpick/engine/agents/CommandPlanner.kt
@@ -12,6 +12,7 @@
 import mintpick.engine.runtime.EngineContext
 import mintpick.engine.runtime.WithheldStart
 import mintpick.wire.Command
+import mintpick.wire.MAX_COMMANDS
 import mintpick.wire.Retiring
 import mintpick.wire.StoredStage
 import mintpick.wire.TaskReport
@@ -72,7 +73,16 @@
             return stopsOfCancelledTasks(view)
         }
         val forgotten = forgottenAttempts(view, claim)
-        return forgotten.map { command(Verb.REMOVE, it) } + stopsFor(view, claim) + startsFor(view, claim, forgotten)
+        return fitting(forgotten.map { command(Verb.REMOVE, it) } + stopsFor(view, claim) + startsFor(view, claim, forgotten))
+    }
+
+    /**
+     * The most urgent of [commands], as many as a message can hold: stops, then the attempts to forget, which starts may need, then
+     * starts. Others follow when these have been executed.
+     */
+    private fun fitting(commands: List<Command>): List<Command> {
+        if (commands.size <= MAX_COMMANDS) return commands
+        return commands.sortedBy { URGENCY.indexOf(it.verb) }.take(MAX_COMMANDS)
     }
 
     /**
@@ -93,9 +103,11 @@
 
     /** Stops of tasks of cancelled jobs, which any controller may send, whether or not it controls the machine. */
     fun stopsOfCancelledTasks(view: MachineView): List<Command> =
-        view.reportedAttempts
-            .filter { (attempt, task) -> task.state != TaskState.EXITED && isCancelled(attempt.task.job) }
-            .map { (attempt, _) -> command(Verb.STOP, attempt, NO_GRACE_S) }
+        fitting(
+            view.reportedAttempts
+                .filter { (attempt, task) -> task.state != TaskState.EXITED && isCancelled(attempt.task.job) }
+                .map { (attempt, _) -> command(Verb.STOP, attempt, NO_GRACE_S) },
+        )
 
     /** Whether no more tasks may be started on the machine of [view]. */
     fun isDraining(
@@ -232,6 +244,7 @@
 
     companion object {
         private const val NO_GRACE_S = 0
+        private val URGENCY = listOf(Verb.STOP, Verb.REMOVE, Verb.START)
         private const val MAX_GRACE_S = 30L
 
         /** Longest estimate with which a task may finish on a machine that is being drained, in seconds. */
--- a/src/main/kotlin/mintpick/engine/agents/HeartbeatAnswers.kt
+++ b/src/main/kotlin/mintpick/engine/agents/HeartbeatAnswers.kt
@@ -10,6 +10,7 @@
 import mintpick.net.Answer
 import mintpick.net.errorAnswer
 import mintpick.wire.Command
+import mintpick.wire.MAX_COMMANDS
 import mintpick.wire.MachineReport
 import mintpick.wire.Misdirected
 import mintpick.wire.ReportAnswer
@@ -85,6 +86,8 @@
             } else {
                 commandPlanner.stopsOfCancelledTasks(view)
             }
+        // A message that is full may have left others waiting, which are sent directly.
+        if (commands.size >= MAX_COMMANDS) context.cache.changedMachines += view.id
         if (carriesAll) view.recordStartsInAnswer(CommandPlanner.startedAttempts(commands))
         if (scope != AnswerScope.UNREAD) view.recordHeartbeatAnswered(context.now)
         return accepted(claim, commands)
--- a/src/main/kotlin/mintpick/engine/scheduling/TeamLimits.kt
+++ b/src/main/kotlin/mintpick/engine/scheduling/TeamLimits.kt
@@ -10,7 +10,7 @@
 ) {
     private val limits =
         context.settings.teams.associate { team ->
-            team.name to Resources(orUnlimited(team.cpusMax), orUnlimited(team.gpusMax), TeamQuota.UNLIMITED)
+            team.name to Resources(orUnlimited(team.cpusMax), orUnlimited(team.gpusMax), TeamQuota.UNLIMITED, TeamQuota.UNLIMITED)
         }
 
     /** Resources that teams may still use, according to the records. */
--- a/src/main/kotlin/mintpick/wire/AgentApi.kt
+++ b/src/main/kotlin/mintpick/wire/AgentApi.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationStrategy
 
 /** State of a task in a machine's status (`stage`). */
 @Serializable
@@ -144,3 +145,25 @@
     @SerialName("shift") val agentEpoch: Long,
     @SerialName("orders") val commands: List<Command>,
 )
+
+/** The longest id of a task: a job id of the most digits, and the last task of the largest job. */
+private const val LONGEST_TASK = "req-99999999999999999/99999"
+
+/** Bytes of a message around its tasks or commands, such as the names of a machine, its type and its zone. */
+private const val MESSAGE_OVERHEAD_BYTES = 2048
+
+/** Number of tasks that a status can certainly list within [MAX_BODY_BYTES]. */
+val MAX_REPORTED_TASKS: Int =
+    (MAX_BODY_BYTES - MESSAGE_OVERHEAD_BYTES) /
+        bytesInList(TaskReport.serializer(), TaskReport(LONGEST_TASK, Int.MAX_VALUE, TaskState.EXITED, ExitCause.STOPPED, false))
+
+/** Number of commands that a message can certainly hold within [MAX_BODY_BYTES]. */
+val MAX_COMMANDS: Int =
+    (MAX_BODY_BYTES - MESSAGE_OVERHEAD_BYTES) /
+        bytesInList(Command.serializer(), Command(Verb.START, LONGEST_TASK, Int.MAX_VALUE, Int.MAX_VALUE))
+
+/** Bytes of [value] in a JSON list, with the comma. */
+private fun <T> bytesInList(
+    serializer: SerializationStrategy<T>,
+    value: T,
+): Int = WireJson.encodeToString(serializer, value).length + 1
--- a/src/test/kotlin/mintpick/core/PlacerTest.kt
+++ b/src/test/kotlin/mintpick/core/PlacerTest.kt
@@ -9,7 +9,7 @@
 class PlacerTest {
     private fun randomMachines(random: SplittableRandom): List<CandidateMachine> =
         List(random.nextInt(1, 20)) {
-            val total = Resources(16.0, 0.0, 64.0)
+            val total = Resources(16.0, 0.0, 64.0, 100.0)
             val used = random.nextDouble()
             CandidateMachine(
                 MachineId("m$it"),
@@ -55,7 +55,7 @@
 
     @Test
     fun `a task goes where an earlier attempt of it is in the way only if nothing else is possible`() {
-        val total = Resources(4.0, 0.0, 16.0)
+        val total = Resources(4.0, 0.0, 16.0, 100.0)
         val machines = listOf("m1", "m2").map { CandidateMachine(MachineId(it), "small", "north", false, total, total, { false }, true) }
         val blocked = mapOf(MachineId("m1") to setOf(0))
 
@@ -69,7 +69,10 @@
         assertEquals(listOf(PlacedTask(0, MachineId("m2"))), place(listOf(0), machines))
         assertEquals(listOf(PlacedTask(0, MachineId("m1"))), place(listOf(0), machines.take(1)))
         assertEquals(setOf(0, 1), place(listOf(0, 1), machines.take(1)).map { it.task }.toSet())
-        assertEquals(listOf(PlacedTask(1, MachineId("m1"))), place(listOf(0, 1), listOf(machines[0].copy(free = Resources(2.0, 0.0, 6.0)))))
+        assertEquals(
+            listOf(PlacedTask(1, MachineId("m1"))),
+            place(listOf(0, 1), listOf(machines[0].copy(free = Resources(2.0, 0.0, 6.0, 100.0)))),
+        )
     }
 
     @Test
@@ -109,7 +112,7 @@
             listOf(
                 mintpick.wire.MachineType("small", 8.0, 0.0, 32.0, price = 1.0, spotPrice = 0.2, zones = listOf("north")),
             ).associateBy { it.name }
-        val total = Resources(8.0, 0.0, 32.0)
+        val total = Resources(8.0, 0.0, 32.0, 100.0)
         val full = CandidateMachine(MachineId("m"), "small", "north", false, Resources.ZERO, total, { false }, true, preemptible = total)
         val scaleOutPlanner = ScaleOutPlanner(types, listOf("north")) { true }
         val service = CapacityDemand(SampleJobs.spec(kind = mintpick.wire.JobKind.SERVICE, spot = false, cpus = 1.0), 3)
@@ -132,7 +135,7 @@
             ).associateBy {
                 it.name
             }
-        val total = Resources(8.0, 0.0, 32.0)
+        val total = Resources(8.0, 0.0, 32.0, 100.0)
         val machines =
             listOf(true, false).map { spot ->
                 CandidateMachine(MachineId("spot-$spot"), "small", "north", spot, total, total, { false }, true)
@@ -152,7 +155,7 @@
     /** The search found only the fuller machines of a zone that already had its share of a spread job, and missed the other zone. */
     @Test
     fun `a spread job finds the zone whose machines are all empty`() {
-        val total = Resources(16.0, 0.0, 64.0)
+        val total = Resources(16.0, 0.0, 64.0, 100.0)
         val machines =
             List(80) {
                 val zone = if (it < 60) "north" else "south"
--- a/src/test/kotlin/mintpick/testing/AgentHeartbeats.kt
+++ b/src/test/kotlin/mintpick/testing/AgentHeartbeats.kt
@@ -5,6 +5,7 @@
 import mintpick.engine.runtime.Event
 import mintpick.engine.runtime.ReplyTo
 import mintpick.net.Answer
+import mintpick.wire.MachineReport
 import mintpick.wire.Misdirected
 import mintpick.wire.ReportAnswer
 import mintpick.wire.WireJson
@@ -44,6 +45,9 @@
         val message = agent.heartbeat(cluster.now)
         val sent = cluster.now
         cluster.messageDelays.heartbeatSent(message)
+        if (message.tasks.size > TASKS_TO_MEASURE) {
+            cluster.checkSize("heartbeat", WireJson.encodeToString(MachineReport.serializer(), message).length)
+        }
         if (cluster.occurs(faultRates.duplicated)) {
             cluster.after(2 * SECOND + cluster.random.nextLong(58 * SECOND)) {
                 cluster.deliverDuplicate(message, cluster.nodes[cluster.random.nextInt(cluster.nodes.size)])
@@ -111,6 +115,7 @@
     ) {
         when (answer.status) {
             200 -> {
+                cluster.checkSize("answer to a heartbeat", answer.body.size)
                 val body = WireJson.decodeFromString(ReportAnswer.serializer(), answer.body.decodeToString())
                 agent.tick(cluster.now)
                 agent.handleHeartbeatAnswer(agentEpoch, sentUs, body.token, body.commands, cluster.now)
@@ -128,4 +133,9 @@
             else -> cluster.after(SECOND) { heartbeatLoop(agent, (target + 1) % cluster.nodes.size, 3 * SECOND) }
         }
     }
+
+    private companion object {
+        /** Fewer tasks always fit into a heartbeat. */
+        const val TASKS_TO_MEASURE = 300
+    }
 }
--- a/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
+++ b/src/test/kotlin/mintpick/testing/SimulatedCluster.kt
@@ -17,6 +17,7 @@
 import mintpick.wire.CommandBatch
 import mintpick.wire.ExitCause
 import mintpick.wire.JobSpec
+import mintpick.wire.MAX_BODY_BYTES
 import mintpick.wire.MachineReport
 import mintpick.wire.PeerHint
 import mintpick.wire.PeerProtobuf
@@ -256,6 +257,7 @@
         call: Call,
         done: (Outcome) -> Unit,
     ) {
+        if (call.target is Target.Worker) checkSize(call.path, call.body?.size ?: 0)
         if (call.target is Target.Cloud) cloud.recordRequestName(call, from.name)
         var pending = true
         val isOutcomeLost = losesOutcome(from, call)
@@ -291,6 +293,14 @@
         body: ByteArray,
     ) = if (body.size > maxAnswerBytes) Outcome.Answered(status, ByteArray(0), isTooLong = true) else Outcome.Answered(status, body)
 
+    /** Records a breach if a message to or from an agent is longer than the protocol allows. */
+    internal fun checkSize(
+        message: String,
+        bytes: Int,
+    ) {
+        if (bytes > MAX_BODY_BYTES) rules.breaches += "too_large: $message of $bytes bytes at $now"
+    }
+
     private fun peersCut(
         from: Node,
         to: Target,
