--- a/src/main/kotlin/mintpick/users/Routes.kt
+++ b/src/main/kotlin/mintpick/users/Routes.kt
@@ -155,24 +155,55 @@
         respond: Respond,
     ) {
         val body = request.boundedBody() ?: return respond(TOO_LARGE.toResponse())
-        val decodeBytes = body.size * SUBMISSION_BYTES_PER_BYTE
-        if (!submissionMemory.tryReserve(decodeBytes)) {
-            unanswered.recordRefusal(TOO_LARGE_SUBMISSIONS, RequestOrigin.USER)
-            return respond(TOO_LARGE_SUBMISSIONS.toResponse())
-        }
+        val refuse = { refuse(TOO_LARGE_SUBMISSIONS, RequestOrigin.USER, respond) }
+        decodeWithin(submissionMemory, body.size * SUBMISSION_BYTES_PER_BYTE, refuse) { decodeSubmission(body, respond) }
+    }
+
+    /** Enqueues the submission in [body]. Returns the bytes of memory that it keeps until it is answered. */
+    private fun decodeSubmission(
+        body: ByteArray,
+        respond: Respond,
+    ): Long {
+        val spec =
+            try {
+                Submission.parse(body.decodeToString())
+            } catch (e: MalformedException) {
+                refuseMalformed(e, respond)
+                return 0
+            }
+        val keptBytes = minOf(body.size * SUBMISSION_BYTES_PER_BYTE, JobMemory.openJobBytes(spec))
+        unanswered.enqueueUserRequest(releasing(submissionMemory, keptBytes, respond)) { reply -> Event.Submit(spec, reply) }
+        return keptBytes
+    }
+
+    /**
+     * Reserves [bytes] of [memory] while [decode] runs, which returns how many of them stay reserved. Calls [refuse] instead if there are
+     * too few.
+     */
+    private inline fun decodeWithin(
+        memory: RequestMemory,
+        bytes: Long,
+        refuse: () -> Unit,
+        decode: () -> Long,
+    ) {
+        if (!memory.tryReserve(bytes)) return refuse()
         var keptBytes = 0L
         try {
-            val spec = Submission.parse(body.decodeToString())
-            keptBytes = minOf(decodeBytes, JobMemory.openJobBytes(spec))
-            val respondAndRelease = releasing(submissionMemory, keptBytes, respond)
-            unanswered.enqueueUserRequest(respondAndRelease) { reply -> Event.Submit(spec, reply) }
-        } catch (e: MalformedException) {
-            refuseMalformed(e, respond)
+            keptBytes = decode()
         } finally {
-            submissionMemory.release(decodeBytes - keptBytes)
+            memory.release(bytes - keptBytes)
         }
     }
 
+    private fun refuse(
+        answer: Answer,
+        origin: RequestOrigin,
+        respond: Respond,
+    ) {
+        unanswered.recordRefusal(answer, origin)
+        respond(answer.toResponse())
+    }
+
     /** [respond], which also releases [bytes] of [memory]. Must be called once. */
     private fun releasing(
         memory: RequestMemory,
@@ -202,23 +233,27 @@
         respond: Respond,
     ) {
         val body = request.boundedBody() ?: return respond(TOO_LARGE.toResponse())
-        val decodeBytes = body.size * HEARTBEAT_BYTES_PER_BYTE
-        if (!heartbeatMemory.tryReserve(decodeBytes)) {
-            unanswered.recordRefusal(TOO_LARGE_HEARTBEATS, RequestOrigin.AGENT_OR_PEER)
-            return respond(TOO_LARGE_HEARTBEATS.toResponse())
-        }
-        var keptBytes = 0L
-        try {
-            val heartbeat = decodeJson(MachineReport.serializer(), body.decodeToString())
-            keptBytes = body.size * KEPT_HEARTBEAT_BYTES_PER_BYTE
-            unanswered.enqueue(releasing(heartbeatMemory, keptBytes, respond)) { reply -> Event.Report(heartbeat, reply) }
-        } catch (e: IllegalArgumentException) {
-            // Includes the decoder's SerializationException and exceptions that constructors throw for invalid values.
-            LOG.debug("heartbeat malformed bytes={}", body.size, e)
-            respond(errorAnswer(BAD_REQUEST, e.message ?: MALFORMED).toResponse())
-        } finally {
-            heartbeatMemory.release(decodeBytes - keptBytes)
-        }
+        val refuse = { refuse(TOO_LARGE_HEARTBEATS, RequestOrigin.AGENT_OR_PEER, respond) }
+        decodeWithin(heartbeatMemory, body.size * HEARTBEAT_BYTES_PER_BYTE, refuse) { decodeHeartbeat(body, respond) }
+    }
+
+    /** Enqueues the heartbeat in [body]. Returns the bytes of memory that it keeps until it is answered. */
+    private fun decodeHeartbeat(
+        body: ByteArray,
+        respond: Respond,
+    ): Long {
+        val heartbeat =
+            try {
+                decodeJson(MachineReport.serializer(), body.decodeToString())
+            } catch (e: IllegalArgumentException) {
+                // Includes the decoder's SerializationException and exceptions that constructors throw for invalid values.
+                LOG.debug("heartbeat malformed bytes={}", body.size, e)
+                respond(errorAnswer(BAD_REQUEST, e.message ?: MALFORMED).toResponse())
+                return 0
+            }
+        val keptBytes = body.size * KEPT_HEARTBEAT_BYTES_PER_BYTE
+        unanswered.enqueue(releasing(heartbeatMemory, keptBytes, respond)) { reply -> Event.Report(heartbeat, reply) }
+        return keptBytes
     }
 
     private fun routePeerApi(
