--- a/src/main/kotlin/mintpick/engine/jobs/SubmissionValidator.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/SubmissionValidator.kt
@@ -87,10 +87,10 @@
     }
 
     /**
-     * Whether the job fits in the memory that each controller has for open jobs. All controllers may store as much as this one before
-     * they see each other's jobs.
+     * Whether the job [spec] fits in the memory that each controller has for open jobs, beside this controller's submissions of
+     * [pendingBytes]. All controllers may store as much as this one before they see each other's jobs.
      */
-    private fun fitsInMemory(
+    fun fitsInMemory(
         spec: JobSpec,
         pendingBytes: Long,
     ): Boolean {
--- a/src/main/kotlin/mintpick/engine/jobs/UserRequestHandler.kt
+++ b/src/main/kotlin/mintpick/engine/jobs/UserRequestHandler.kt
@@ -72,6 +72,8 @@
             cache.isKnown(id) -> answers.sendStage(id, answers.stage(id) ?: JobStage.QUEUED, reply)
             result is AdmissionResult.UnknownPredecessors -> rejectUnknownPredecessors(result.jobs, reply)
             pendingRequests.isFull -> context.send(reply, answers.tooManySubmissions())
+            // Others may have been added since this one was validated.
+            !validator.fitsInMemory(spec, pendingRequests.submissionBytes) -> context.send(reply, answers.tooManyOpenJobs())
             else -> pendingRequests.addSubmission(spec, validator.memoryOf(spec), reply)
         }
     }
--- a/src/test/kotlin/mintpick/simulation/AdmissionMemoryTest.kt
+++ b/src/test/kotlin/mintpick/simulation/AdmissionMemoryTest.kt
@@ -89,6 +89,31 @@
         assertTrue(mostBytes in 1..memory.openJobBytes, "$mostBytes bytes of ${memory.openJobBytes}")
     }
 
+    /** Submissions that waited for the same catch-up were each checked alone, before it, and accepted together. */
+    @Test
+    fun `submissions that wait until their predecessors are known do not fit together if each fits alone`() {
+        val memory = MemoryBudget(heapBytes = 160 * 1024)
+        val cluster = cluster(623, memory)
+        cluster.observe(8 * SECOND)
+        val first = SampleJobs.spec("req-000001", "blue", tasks = 1, estimateS = 600.0)
+        val dependent = (2..60).map { largeJob(it).copy(predecessors = listOf(first.id)) }
+        cluster.rules.submitted(first, cluster.now)
+        cluster.nodes[0].deliver(
+            Event.Submit(
+                first,
+                ReplyTo {
+                    for (job in dependent) {
+                        cluster.rules.submitted(job, cluster.now)
+                        cluster.nodes[1].deliver(Event.Submit(job, ReplyTo { }))
+                    }
+                },
+            ),
+        )
+        cluster.observe(30 * SECOND)
+        assertTrue(mostBytes in 1..memory.openJobBytes, "$mostBytes bytes of ${memory.openJobBytes}")
+        cluster.assertRulesHeld()
+    }
+
     /** Placed tasks need memory on every controller, and a job may have 100,000 of them. */
     @Test
     fun `no more tasks are placed than the memory holds, and the others follow`() {
